--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+ENTRIES ?= 3
+
+.PHONY: build format lint test run demo bench failures
+
+build:
+	go build -o bin/ ./cmd/...
+
+format:
+	$(LINT) fmt
+
+lint:
+	$(LINT) fmt --diff
+	$(LINT) run
+
+test: lint build
+	go test -race ./...
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,14 @@
+// Command standin runs small stand-ins for the platform and for endpoints.
+package main
+
+import (
+	"os"
+
+	"teaselloft/internal/core/command"
+
+	_ "teaselloft/internal/command/process"
+)
+
+func main() {
+	os.Exit(command.Main("standin", "stand-ins for the platform and for endpoints"))
+}
--- /dev/null
+++ b/cmd/teaselloft/main.go
@@ -0,0 +1,14 @@
+// Command teaselloft is the daemon of an entry instance and the operators' command line.
+package main
+
+import (
+	"os"
+
+	"teaselloft/internal/core/command"
+
+	_ "teaselloft/internal/command/process"
+)
+
+func main() {
+	os.Exit(command.Main("teaselloft", "fleet capacity and maintenance manager"))
+}
--- /dev/null
+++ b/internal/core/command/table.go
@@ -0,0 +1,47 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+var table = struct {
+	sync.Mutex
+	commands []*cli.Command
+}{}
+
+// Register adds a subcommand to every program built with Main; call it from init.
+func Register(c *cli.Command) {
+	table.Lock()
+	defer table.Unlock()
+	table.commands = append(table.commands, c)
+}
+
+// Program returns the root command with every registered subcommand.
+func Program(name, usage string) *cli.Command {
+	table.Lock()
+	defer table.Unlock()
+	return &cli.Command{
+		Name:                  name,
+		Usage:                 usage,
+		EnableShellCompletion: true,
+		Commands:              table.commands,
+	}
+}
+
+// Main runs a program until it ends or the process is told to stop, and returns its exit code.
+func Main(name, usage string) int {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	if err := Program(name, usage).Run(ctx, os.Args); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/core/kernel/host.go
@@ -0,0 +1,183 @@
+package kernel
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"reflect"
+	"slices"
+	"sync"
+
+	"teaselloft/internal/core/ring"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Duty is one goroutine of a plug-in; the process stops when its Run returns.
+type Duty struct {
+	Name string
+	Run  func(ctx context.Context) error
+}
+
+// Port names a ring through which plug-ins reach the duty that pulls from it.
+type Port[T any] struct {
+	Name     string
+	Capacity int
+	Policy   ring.Policy
+}
+
+// Topic names a stream that any number of plug-ins subscribe to.
+type Topic[T any] struct {
+	Name string
+}
+
+// Host is what a plug-in sees of its process.
+type Host struct {
+	Settings Settings
+	Log      *slog.Logger
+	Metrics  metrics.Registry
+
+	mutex    sync.Mutex
+	ports    map[string]any
+	topics   map[string]any
+	services map[reflect.Type]any
+	dumps    map[string]func() any
+	stops    []stopHook
+	stopping chan struct{}
+}
+
+type stopHook struct {
+	phase Phase
+	run   func(ctx context.Context) error
+}
+
+// Phase orders the hooks of a graceful stop.
+type Phase int
+
+// The phases of a graceful stop, in order.
+const (
+	PhaseReady   Phase = iota // report not ready and refuse new work
+	PhaseDrain                // finish work in flight
+	PhaseRelease              // give up duties and leases
+)
+
+func newHost(s Settings, log *slog.Logger) *Host {
+	return &Host{
+		Settings: s,
+		Log:      log.With("entry", s.Name),
+		Metrics:  metrics.NewRegistry(),
+		ports:    map[string]any{},
+		topics:   map[string]any{},
+		services: map[reflect.Type]any{},
+		dumps:    map[string]func() any{},
+		stopping: make(chan struct{}),
+	}
+}
+
+// Open returns the ring behind a port, the same one for every caller in the process.
+func Open[T any](h *Host, p Port[T]) *ring.Ring[T] {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if r, ok := h.ports[p.Name]; ok {
+		return r.(*ring.Ring[T])
+	}
+	r := ring.New[T](p.Name, p.Capacity, p.Policy, h.Metrics)
+	h.ports[p.Name] = r
+	return r
+}
+
+// Subscribe delivers every value published on the topic to the sink; call it only from Build.
+func Subscribe[T any](h *Host, t Topic[T], sink func(ctx context.Context, v T) error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	sinks, _ := h.topics[t.Name].([]func(context.Context, T) error)
+	h.topics[t.Name] = append(sinks, sink)
+}
+
+// Publish hands v to every subscriber in turn and returns the first error.
+func Publish[T any](ctx context.Context, h *Host, t Topic[T], v T) error {
+	h.mutex.Lock()
+	sinks, _ := h.topics[t.Name].([]func(context.Context, T) error)
+	h.mutex.Unlock()
+	for _, sink := range sinks {
+		if err := sink(ctx, v); err != nil {
+			return fmt.Errorf("publish on topic %q: %w", t.Name, err)
+		}
+	}
+	return nil
+}
+
+// Provide offers an implementation of the interface T to other plug-ins; call it only from Build.
+func Provide[T any](h *Host, v T) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.services[reflect.TypeFor[T]()] = v
+}
+
+// Use returns the provided implementation of the interface T and whether there is one; call it from a duty.
+func Use[T any](h *Host) (T, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	v, ok := h.services[reflect.TypeFor[T]()].(T)
+	return v, ok
+}
+
+// Dump registers a section of the state dump; f must be safe to call from any goroutine.
+func (h *Host) Dump(section string, f func() any) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.dumps[section] = f
+}
+
+// State returns the state dump, a value per section.
+func (h *Host) State() map[string]any {
+	h.mutex.Lock()
+	dumps := make(map[string]func() any, len(h.dumps))
+	for name, f := range h.dumps {
+		dumps[name] = f
+	}
+	h.mutex.Unlock()
+	state := make(map[string]any, len(dumps))
+	for name, f := range dumps {
+		state[name] = f()
+	}
+	return state
+}
+
+// OnStop adds a hook that runs in the given phase of a graceful stop.
+func (h *Host) OnStop(phase Phase, run func(ctx context.Context) error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.stops = append(h.stops, stopHook{phase: phase, run: run})
+}
+
+// Stopping returns a channel that closes when a graceful stop begins.
+func (h *Host) Stopping() <-chan struct{} {
+	return h.stopping
+}
+
+// drain runs the stop hooks phase by phase; hooks of one phase run together.
+func (h *Host) drain(ctx context.Context) {
+	close(h.stopping)
+	h.mutex.Lock()
+	hooks := slices.Clone(h.stops)
+	h.mutex.Unlock()
+	for phase := PhaseReady; phase <= PhaseRelease; phase++ {
+		h.drainPhase(ctx, phase, hooks)
+	}
+}
+
+func (h *Host) drainPhase(ctx context.Context, phase Phase, hooks []stopHook) {
+	var group sync.WaitGroup
+	for _, hook := range hooks {
+		if hook.phase != phase {
+			continue
+		}
+		group.Go(func() {
+			if err := hook.run(ctx); err != nil {
+				h.Log.Warn("stop hook failed", "event", "stop.failed", "phase", int(phase), "error", err)
+			}
+		})
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/internal/core/kernel/kernel.go
@@ -0,0 +1,83 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+
+	"github.com/oklog/run"
+)
+
+// errStopped marks the regular end of a process.
+var errStopped = errors.New("stop requested")
+
+// Kernel is one process made of the plug-ins that its settings name.
+type Kernel struct {
+	host   *Host
+	duties []Duty
+}
+
+// New builds the plug-ins named in the settings in order of name; errors wrap ErrSettings or come from a plug-in.
+func New(s Settings, log *slog.Logger) (*Kernel, error) {
+	k := &Kernel{host: newHost(s, log)}
+	for _, name := range slices.Sorted(maps.Keys(s.Plugins)) {
+		p, ok := lookup(name)
+		if !ok {
+			return nil, fmt.Errorf("%w: plug-in %q does not exist", ErrSettings, name)
+		}
+		duties, err := p.Build(k.host, s.Plugins[name])
+		if err != nil {
+			return nil, fmt.Errorf("build plug-in %q: %w", name, err)
+		}
+		k.duties = append(k.duties, duties...)
+	}
+	return k, nil
+}
+
+// Host returns the process's host.
+func (k *Kernel) Host() *Host {
+	return k.host
+}
+
+// Run runs every duty until ctx ends or a duty returns, then stops gracefully; it returns the duty's error if any.
+func (k *Kernel) Run(ctx context.Context) error {
+	var group run.Group
+	for _, d := range k.duties {
+		k.addDuty(&group, d)
+	}
+	stop, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		<-stop.Done()
+		k.stop()
+		return errStopped
+	}, func(error) { cancel() })
+	k.host.Log.Info("started", "event", "start", "duties", len(k.duties))
+	err := group.Run()
+	k.host.Log.Info("stopped", "event", "stop", "reason", err)
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// stop runs the hooks of a graceful stop within DefaultStopTimeout.
+func (k *Kernel) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), DefaultStopTimeout)
+	defer cancel()
+	k.host.drain(ctx)
+}
+
+// addDuty runs d under a context of its own, so that duties keep running while the stop hooks drain.
+func (k *Kernel) addDuty(group *run.Group, d Duty) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		err := d.Run(ctx)
+		if err != nil && !errors.Is(err, context.Canceled) {
+			return fmt.Errorf("duty %q: %w", d.Name, err)
+		}
+		return err
+	}, func(error) { cancel() })
+}
--- /dev/null
+++ b/internal/core/ring/doc.go
@@ -0,0 +1,2 @@
+// Package ring provides the bounded rings that join the duties of a process.
+package ring
--- /dev/null
+++ b/internal/model/message/frame.go
@@ -0,0 +1,99 @@
+package message
+
+import "time"
+
+// Frame is a message between two entry instances.
+//
+//sumtype:decl
+type Frame interface{ frame() }
+
+// Ask asks the owner of a service for a grant.
+type Ask struct {
+	Request Request
+	Left    time.Duration // until the deadline, since clocks are not synchronized
+	Exclude []string      // executors that failed this request
+}
+
+// Grant lets the asking entry instance send a request to an executor.
+type Grant struct {
+	ID       ID
+	Service  string
+	Epoch    uint64
+	Executor Executor
+}
+
+// Deny refuses a request; Holder names the entry instance that may keep the answer of a duplicate.
+type Deny struct {
+	ID      ID
+	Service string
+	Epoch   uint64
+	Refusal Refusal
+	Holder  string
+}
+
+// Release returns a grant to the owner.
+type Release struct {
+	ID       ID
+	Service  string
+	Epoch    uint64
+	Executor string
+	Outcome  Outcome
+	RunTime  time.Duration
+}
+
+// Withdraw takes back an Ask that was not yet granted.
+type Withdraw struct {
+	ID      ID
+	Service string
+}
+
+// Gather asks a member for its grants of a service; it refuses lower epochs from then on.
+type Gather struct {
+	Service string
+	Epoch   uint64
+}
+
+// Holding answers Gather.
+type Holding struct {
+	Service string
+	Epoch   uint64
+	Grants  []Held
+}
+
+// Held is a grant in flight.
+type Held struct {
+	ID       ID
+	Executor string
+	Left     time.Duration // until the request's deadline
+	Key      string        // idempotency key of a non-idempotent request
+}
+
+// Heartbeat says that the sender is alive and which of its services it can prove to own.
+type Heartbeat struct {
+	Owned map[string]uint64 // epoch by service
+}
+
+// Fetch asks for the stored answer to an idempotency key.
+type Fetch struct {
+	ID      ID
+	Service string
+	Key     string
+}
+
+// Stored answers Fetch; Found is false when the answer is not kept.
+type Stored struct {
+	ID     ID
+	Found  bool
+	Answer Answer
+}
+
+func (Ask) frame()       {}
+func (Grant) frame()     {}
+func (Deny) frame()      {}
+func (Release) frame()   {}
+func (Withdraw) frame()  {}
+func (Gather) frame()    {}
+func (Holding) frame()   {}
+func (Heartbeat) frame() {}
+func (Fetch) frame()     {}
+func (Stored) frame()    {}
