--- /dev/null
+++ b/internal/decision/dispatch/message.go
@@ -0,0 +1,138 @@
+package dispatch
+
+import (
+	"time"
+
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+)
+
+// Message is an input of Step.
+//
+//sumtype:decl
+type Message interface{ message() }
+
+// Configure brings the service's settings and its executors; it may come at any time.
+type Configure struct {
+	Now       time.Time
+	Service   fleet.Service
+	Executors []Candidate
+}
+
+// Candidate is an executor of the service; one that is not Available gets no new grant.
+type Candidate struct {
+	Executor  message.Executor
+	Available bool
+}
+
+// Start begins an epoch after the owner record was won; grants wait until the claim is written and every member answered.
+type Start struct {
+	Now      time.Time
+	Epoch    uint64
+	Self     string
+	Members  []string         // entry instances to gather from, without Self
+	Shared   []string         // sorted members of the previous owner record, for static shares
+	Claim    record.Claim     // as read from the store, zero when there is none
+	Revision int64            // of the claim key, 0 when there is none
+	Older    []record.Claimed // entries of the claim's segments
+}
+
+// Prove extends the time until which the owner may grant.
+type Prove struct {
+	Now   time.Time
+	Until time.Time
+}
+
+// Stop ends the epoch; queued requests are denied with ReasonNoOwner and grants are forgotten.
+type Stop struct{ Now time.Time }
+
+// Ask queues a request of an entry instance.
+type Ask struct {
+	Now     time.Time
+	From    string
+	Request message.Request // its Deadline is by this owner's clock
+	Exclude []string        // executors that failed this request
+}
+
+// Release returns a grant.
+type Release struct {
+	Now     time.Time
+	From    string
+	Release message.Release
+}
+
+// Withdraw removes a queued request, or returns its grant unused if it crossed the withdrawal.
+type Withdraw struct {
+	Now time.Time
+	ID  message.ID
+}
+
+// Holding brings a member's grants in flight.
+type Holding struct {
+	Now    time.Time
+	From   string
+	Grants []message.Held
+}
+
+// Reachable says whether frames from a member arrive; an unreachable member keeps its static share.
+type Reachable struct {
+	Now   time.Time
+	Entry string
+	Up    bool
+}
+
+// Gone says that a member is certainly dead; its static share and expired grants are freed.
+type Gone struct {
+	Now   time.Time
+	Entry string
+}
+
+// Written reports the end of a Write effect.
+type Written struct {
+	Now      time.Time
+	Sequence uint64 // of the claim that was written
+	Revision int64
+	Err      error // nil, or wraps ErrConflict or ErrUnavailable
+}
+
+// Tick lets time pass: deadlines, expired grants and early refusals.
+type Tick struct{ Now time.Time }
+
+func (Configure) message() {}
+func (Start) message()     {}
+func (Prove) message()     {}
+func (Stop) message()      {}
+func (Ask) message()       {}
+func (Release) message()   {}
+func (Withdraw) message()  {}
+func (Holding) message()   {}
+func (Reachable) message() {}
+func (Gone) message()      {}
+func (Written) message()   {}
+func (Tick) message()      {}
+
+// Effect is an output of Step.
+//
+//sumtype:decl
+type Effect interface{ effect() }
+
+// Reply sends a Grant or Deny frame to an entry instance, which may be the owner itself.
+type Reply struct {
+	To    string
+	Frame message.Frame
+}
+
+// Write asks for a compare-and-swap of the claim or of one of its segments.
+type Write struct {
+	Record   record.Record // record.Claim or record.Segment
+	Expected int64
+	Delete   bool
+}
+
+// Resign says that the claim was written by another owner: this epoch is over.
+type Resign struct{ Epoch uint64 }
+
+func (Reply) effect()  {}
+func (Write) effect()  {}
+func (Resign) effect() {}
--- a/internal/model/record/record.go
+++ b/internal/model/record/record.go
@@ -1,6 +1,9 @@
 package record
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Record is a value stored under one of the key prefixes.
 //
@@ -52,6 +55,13 @@
 	Segments []string  `json:"segments,omitempty"` // keys of older entries
 }
 
+// Segment holds older entries of a claim, so that each write of the claim stays small.
+type Segment struct {
+	Service string    `json:"service"`
+	Number  uint64    `json:"number"`
+	Entries []Claimed `json:"entries"`
+}
+
 // Claimed is one claimed idempotency key.
 type Claimed struct {
 	Hash  string `json:"hash"`
@@ -140,6 +150,9 @@
 // Key returns the claim's key.
 func (c Claim) Key() string { return PrefixClaim + c.Service }
 
+// Key returns the segment's key.
+func (s Segment) Key() string { return fmt.Sprintf("%s%s/%d", PrefixClaim, s.Service, s.Number) }
+
 // Key returns the instance's key.
 func (i Instance) Key() string { return PrefixInstance + i.ID }
 
@@ -155,6 +168,7 @@
 func (Member) sealed()   {}
 func (Owner) sealed()    {}
 func (Claim) sealed()    {}
+func (Segment) sealed()  {}
 func (Instance) sealed() {}
 func (Ledger) sealed()   {}
 func (Head) sealed()     {}
