--- /dev/null
+++ b/internal/decision/forward/keys.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/benbjohnson/immutable"
+
+	"teaselloft/internal/model/message"
+)
+
+// Limits of the idempotency keys and answers that an entry instance remembers.
+const (
+	KeyRetention    = time.Hour        // as long as a claim is kept
+	AnswerRetention = 10 * time.Minute // how long a repeated key gets the stored answer
+	MaxKeys         = 65536
+	MaxAnswerBytes  = 8 << 20 // over all answers
+)
+
+// Keys remembers which idempotency keys of non-idempotent requests this entry instance
+// took; an owner may grant a claimed key again to the same entry instance because of it.
+type Keys struct {
+	entries *immutable.Map[string, entry]
+	order   *immutable.List[mark] // oldest first
+	bytes   int
+}
+
+type entry struct {
+	id     message.ID
+	answer *message.Answer
+}
+
+type mark struct {
+	key  string
+	time time.Time
+}
+
+// NewKeys returns an empty table.
+func NewKeys() Keys {
+	return Keys{entries: immutable.NewMap[string, entry](nil), order: immutable.NewList[mark]()}
+}
+
+// Full says whether the table can take no further key before older ones expire.
+func (k Keys) Full() bool {
+	return k.entries.Len() >= MaxKeys
+}
+
+// Len returns the number of keys.
+func (k Keys) Len() int {
+	return k.entries.Len()
+}
+
+// Answer returns the stored answer to a key.
+func (k Keys) Answer(key string) (message.Answer, bool) {
+	e, ok := k.entries.Get(key)
+	if !ok || e.answer == nil {
+		return message.Answer{}, false
+	}
+	return *e.answer, true
+}
+
+// Has says whether a key was taken before.
+func (k Keys) Has(key string) bool {
+	_, ok := k.entries.Get(key)
+	return ok
+}
+
+// WithKey returns a copy that remembers a key.
+func (k Keys) WithKey(key string, id message.ID, now time.Time) Keys {
+	k.entries = k.entries.Set(key, entry{id: id})
+	k.order = k.order.Append(mark{key: key, time: now})
+	return k
+}
+
+// WithoutKey returns a copy that forgets a key whose request was certainly not sent.
+func (k Keys) WithoutKey(key string, id message.ID) Keys {
+	e, ok := k.entries.Get(key)
+	if !ok || e.id != id {
+		return k
+	}
+	return k.withoutAnswer(e).withoutEntry(key)
+}
+
+// WithAnswer returns a copy that keeps the answer to a key if there is room for it.
+func (k Keys) WithAnswer(key string, a *message.Answer) Keys {
+	e, ok := k.entries.Get(key)
+	if !ok || a == nil || k.bytes+len(a.Body) > MaxAnswerBytes {
+		return k
+	}
+	k = k.withoutAnswer(e)
+	k.bytes += len(a.Body)
+	k.entries = k.entries.Set(key, entry{id: e.id, answer: a})
+	return k
+}
+
+// WithoutOld returns a copy without the keys and answers past their retention, at a cost in proportion to their number.
+func (k Keys) WithoutOld(now time.Time) Keys {
+	for k.order.Len() > 0 && now.Sub(k.order.Get(0).time) >= KeyRetention {
+		key := k.order.Get(0).key
+		if e, ok := k.entries.Get(key); ok {
+			k = k.withoutAnswer(e).withoutEntry(key)
+		}
+		k.order = k.order.Slice(1, k.order.Len())
+	}
+	return k
+}
+
+func (k Keys) withoutAnswer(e entry) Keys {
+	if e.answer != nil {
+		k.bytes -= len(e.answer.Body)
+	}
+	return k
+}
+
+func (k Keys) withoutEntry(key string) Keys {
+	k.entries = k.entries.Delete(key)
+	return k
+}
--- /dev/null
+++ b/internal/decision/forward/owner.go
@@ -0,0 +1,145 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"teaselloft/internal/model/message"
+)
+
+// ownerChanged asks the new owner for every request that has no grant yet.
+func (s State) ownerChanged(m Owner) (State, []Effect) {
+	service := m.Owner.Service
+	old, ok := s.owners[service]
+	if ok && old.owner.Epoch > m.Owner.Epoch {
+		return s, nil
+	}
+	s.owners = with(s.owners, service, target{owner: m.Owner, reachable: m.Reachable && m.Owner.Entry != ""})
+	return s.askAgain(service, m.Now, func(q request) bool {
+		return q.phase == waiting || q.epoch < m.Owner.Epoch || q.asked != m.Owner.Entry
+	})
+}
+
+// linked asks again what may have been lost with a link, and stops asking an owner that cannot be reached.
+func (s State) linked(m Linked) (State, []Effect) {
+	var effects []Effect
+	for service, t := range s.owners {
+		if t.owner.Entry != m.Entry {
+			continue
+		}
+		t.reachable = m.Up
+		s.owners = with(s.owners, service, t)
+		var more []Effect
+		s, more = s.askAgain(service, m.Now, func(request) bool { return true })
+		effects = append(effects, more...)
+	}
+	if m.Up {
+		return s, effects
+	}
+	return s.giveUpFetches(m.Entry, effects)
+}
+
+// askAgain asks for the requests of a service that have no grant and that match.
+func (s State) askAgain(service string, now time.Time, match func(request) bool) (State, []Effect) {
+	var effects []Effect
+	for _, q := range s.ofService(service) {
+		if q.phase != waiting && q.phase != asked || !match(q) {
+			continue
+		}
+		var more []Effect
+		s, more = s.ask(q, now)
+		effects = append(effects, more...)
+	}
+	return s, effects
+}
+
+// giveUpFetches refuses the duplicates whose answer is behind a broken link.
+func (s State) giveUpFetches(entry string, effects []Effect) (State, []Effect) {
+	for it := s.requests.Iterator(); !it.Done(); {
+		_, q, _ := it.Next()
+		if q.phase != fetching || q.holder != entry {
+			continue
+		}
+		var more []Effect
+		s, more = s.refuse(q, q.refusal)
+		effects = append(effects, more...)
+	}
+	return s, effects
+}
+
+// gathered reports the grants in flight; grants of lower epochs are refused from now on.
+func (s State) gathered(m Gathered) (State, []Effect) {
+	g := m.Gather
+	if g.Epoch < s.floors[g.Service] {
+		return s, nil
+	}
+	s.floors = with(s.floors, g.Service, g.Epoch)
+	s.static = with(s.static, g.Service, nil)
+	return s, []Effect{Frame{To: m.From, Frame: message.Holding{
+		Service: g.Service,
+		Epoch:   g.Epoch,
+		Grants:  s.held(g.Service, m.Now),
+	}}}
+}
+
+func (s State) fetched(m Fetched) (State, []Effect) {
+	a, ok := s.keys.Answer(m.Fetch.Service + "\x00" + m.Fetch.Key)
+	return s, []Effect{Frame{To: m.From, Frame: message.Stored{ID: m.Fetch.ID, Found: ok, Answer: a}}}
+}
+
+func (s State) stored(m Stored) (State, []Effect) {
+	q, ok := s.request(m.Stored.ID)
+	if !ok || q.phase != fetching {
+		return s, nil
+	}
+	if !m.Stored.Found {
+		return s.refuse(q, q.refusal)
+	}
+	s = s.withoutRequest(m.Stored.ID)
+	s.keys = s.keys.WithoutKey(keyOf(q.request), q.request.ID)
+	return s, []Effect{Verdict{
+		ID:      q.request.ID,
+		Verdict: message.Replay{Answer: m.Stored.Answer, Config: q.config},
+		Last:    true,
+	}}
+}
+
+// staticChanged starts or ends the use of static slots and starts waiting requests on them.
+func (s State) staticChanged(m Static) (State, []Effect) {
+	s.static = with(s.static, m.Service, m.Slots)
+	return s.refill(m.Service, m.Now, nil)
+}
+
+// refill starts waiting requests of a service on free static slots.
+func (s State) refill(service string, now time.Time, effects []Effect) (State, []Effect) {
+	if len(s.static[service]) == 0 {
+		return s, effects
+	}
+	s, more := s.askAgain(service, now, func(q request) bool {
+		return q.phase == waiting && q.request.Idempotent
+	})
+	return s, append(effects, more...)
+}
+
+// freeSlot returns the executor with a free static slot and the least in use for an idempotent request.
+func (s State) freeSlot(q request) (message.Executor, bool) {
+	slots := s.static[q.request.Service]
+	if len(slots) == 0 || !q.request.Idempotent {
+		return message.Executor{}, false
+	}
+	used := s.InFlight()
+	best := -1
+	for i, slot := range slots {
+		free := slot.Count - used[slot.Executor.ID]
+		if free <= 0 || slices.Contains(q.exclude, slot.Executor.ID) {
+			continue
+		}
+		if best < 0 || used[slot.Executor.ID] < used[slots[best].Executor.ID] {
+			best = i
+		}
+	}
+	if best < 0 {
+		return message.Executor{}, false
+	}
+	return slots[best].Executor, true
+}
--- /dev/null
+++ b/internal/decision/forward/state.go
@@ -0,0 +1,173 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/benbjohnson/immutable"
+
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+)
+
+// MaxWaiting bounds the requests that wait for a service's owner to appear.
+const MaxWaiting = 4096
+
+// State is the immutable state of the requests that one entry instance took.
+type State struct {
+	self     string
+	requests *immutable.Map[uint64, request] // by sequence
+	waiting  int                             // requests in phase waiting
+	owners   map[string]target               // by service
+	floors   map[string]uint64               // lowest epoch accepted by service
+	static   map[string][]Slot               // by service, empty unless allowed
+	keys     Keys
+	budget   float64 // retries that may still be made
+}
+
+// target is where the asks of a service go.
+type target struct {
+	owner     record.Owner
+	reachable bool
+}
+
+// phase is how far a request has come.
+type phase int
+
+const (
+	waiting  phase = iota // for an owner that can be asked
+	asked                 // the owner has it in its queue
+	granted               // the caller link sends it
+	fetching              // another entry instance may have the answer
+)
+
+// request is one request between its arrival and its last verdict.
+type request struct {
+	request    message.Request
+	correction string
+	config     uint64
+	phase      phase
+	asked      string // entry instance that was asked
+	epoch      uint64
+	executor   string
+	static     bool
+	exclude    []string
+	holder     string          // entry instance that may have the answer
+	refusal    message.Refusal // to give when the holder has none
+}
+
+// New returns the state of the entry instance with the given name.
+func New(self string) State {
+	return State{
+		self:     self,
+		requests: immutable.NewMap[uint64, request](nil),
+		owners:   map[string]target{},
+		floors:   map[string]uint64{},
+		static:   map[string][]Slot{},
+		keys:     NewKeys(),
+		budget:   retryBurst,
+	}
+}
+
+// Len returns the number of requests between arrival and last verdict.
+func (s State) Len() int {
+	return s.requests.Len()
+}
+
+// Counts returns the number of requests in each phase by service.
+func (s State) Counts() map[string]Count {
+	counts := map[string]Count{}
+	for it := s.requests.Iterator(); !it.Done(); {
+		_, q, _ := it.Next()
+		counts[q.request.Service] = counts[q.request.Service].withPhase(q.phase)
+	}
+	return counts
+}
+
+// Count is the number of a service's requests in each phase.
+type Count struct {
+	Waiting  int `json:"waiting"`
+	Asked    int `json:"asked"`
+	Granted  int `json:"granted"`
+	Fetching int `json:"fetching"`
+}
+
+func (c Count) withPhase(p phase) Count {
+	switch p {
+	case waiting:
+		c.Waiting++
+	case asked:
+		c.Asked++
+	case granted:
+		c.Granted++
+	case fetching:
+		c.Fetching++
+	}
+	return c
+}
+
+// InFlight returns the number of this entry instance's requests on each executor.
+func (s State) InFlight() map[string]int {
+	counts := map[string]int{}
+	for it := s.requests.Iterator(); !it.Done(); {
+		_, q, _ := it.Next()
+		if q.phase == granted {
+			counts[q.executor]++
+		}
+	}
+	return counts
+}
+
+func (s State) withRequest(q request) State {
+	old, ok := s.requests.Get(q.request.ID.Sequence)
+	if ok && old.phase == waiting {
+		s.waiting--
+	}
+	if q.phase == waiting {
+		s.waiting++
+	}
+	s.requests = s.requests.Set(q.request.ID.Sequence, q)
+	return s
+}
+
+func (s State) withoutRequest(id message.ID) State {
+	if old, ok := s.requests.Get(id.Sequence); ok && old.phase == waiting {
+		s.waiting--
+	}
+	s.requests = s.requests.Delete(id.Sequence)
+	return s
+}
+
+// request returns a request of this incarnation.
+func (s State) request(id message.ID) (request, bool) {
+	q, ok := s.requests.Get(id.Sequence)
+	return q, ok && q.request.ID == id
+}
+
+// ofService returns the requests of a service in order of arrival.
+func (s State) ofService(service string) []request {
+	var found []request
+	for it := s.requests.Iterator(); !it.Done(); {
+		_, q, _ := it.Next()
+		if q.request.Service == service {
+			found = append(found, q)
+		}
+	}
+	sortByArrival(found)
+	return found
+}
+
+// held describes the grants in flight of a service for its next owner.
+func (s State) held(service string, now time.Time) []message.Held {
+	var grants []message.Held
+	for _, q := range s.ofService(service) {
+		if q.phase != granted {
+			continue
+		}
+		h := message.Held{ID: q.request.ID, Executor: q.executor, Left: q.request.Deadline.Sub(now)}
+		if !q.request.Idempotent {
+			h.Key = q.request.Key
+		}
+		grants = append(grants, h)
+	}
+	return grants
+}
--- a/internal/model/message/frame.go
+++ b/internal/model/message/frame.go
@@ -68,9 +68,10 @@
 	Key      string        // idempotency key of a non-idempotent request
 }
 
-// Heartbeat says that the sender is alive and which of its services it can prove to own.
-type Heartbeat struct {
-	Owned map[string]uint64 // epoch by service
+// Cleared says that an owner's epoch ended and that all its grants came back.
+type Cleared struct {
+	Service string
+	Epoch   uint64
 }
 
 // Fetch asks for the stored answer to an idempotency key.
@@ -87,13 +88,13 @@
 	Answer Answer
 }
 
-func (Ask) frame()       {}
-func (Grant) frame()     {}
-func (Deny) frame()      {}
-func (Release) frame()   {}
-func (Withdraw) frame()  {}
-func (Gather) frame()    {}
-func (Holding) frame()   {}
-func (Heartbeat) frame() {}
-func (Fetch) frame()     {}
-func (Stored) frame()    {}
+func (Ask) frame()      {}
+func (Grant) frame()    {}
+func (Deny) frame()     {}
+func (Release) frame()  {}
+func (Withdraw) frame() {}
+func (Gather) frame()   {}
+func (Holding) frame()  {}
+func (Cleared) frame()  {}
+func (Fetch) frame()    {}
+func (Stored) frame()   {}
--- a/internal/model/record/record.go
+++ b/internal/model/record/record.go
@@ -31,10 +31,11 @@
 	Entry       string    `json:"entry"`
 	Incarnation string    `json:"incarnation"`
 	Zone        string    `json:"zone"`
-	Address     string    `json:"address"`  // of the entry listener
-	Operator    string    `json:"operator"` // address of the operators' listener
-	Config      uint64    `json:"config"`   // configuration version in force
-	Since       time.Time `json:"since"`    // when that version came into force
+	Address     string    `json:"address"`           // of the entry listener
+	Operator    string    `json:"operator"`          // address of the operators' listener
+	Config      uint64    `json:"config"`            // configuration version in force
+	Since       time.Time `json:"since"`             // when that version came into force
+	Leaving     bool      `json:"leaving,omitempty"` // stopping gracefully, takes over no service
 }
 
 // Owner says which entry instance dispatches a service; it outlives its owner.
