Add the owner's dispatch decision

Claimed gains the request that holds the claim, so that a request asked again after a takeover is told from a duplicate. Written gains the epoch and the claim found after a conflict.

--- a/internal/decision/dispatch/message.go
+++ b/internal/decision/dispatch/message.go
@@ -27,6 +27,8 @@
 }
 
 // Start begins an epoch after the owner record was won; grants wait until the claim is written and every member answered.
+//
+// Self is gathered like every member, because it may hold grants of the previous epoch.
 type Start struct {
 	Now      time.Time
 	Epoch    uint64
@@ -48,6 +50,10 @@
 type Stop struct{ Now time.Time }
 
 // Ask queues a request of an entry instance.
+//
+// An entry instance asks with an ID only while no byte of the request was sent,
+// and for an idempotent request also after a failed send. It may ask again with
+// the same ID after a takeover or a broken link.
 type Ask struct {
 	Now     time.Time
 	From    string
@@ -63,6 +69,8 @@
 }
 
 // Withdraw removes a queued request, or returns its grant unused if it crossed the withdrawal.
+//
+// Its entry instance does not send the request after it withdrew it.
 type Withdraw struct {
 	Now time.Time
 	ID  message.ID
@@ -91,9 +99,13 @@
 // Written reports the end of a Write effect.
 type Written struct {
 	Now      time.Time
-	Sequence uint64 // of the claim that was written
-	Revision int64
-	Err      error // nil, or wraps ErrConflict or ErrUnavailable
+	Epoch    uint64 // of the Write
+	Sequence uint64 // of the Write
+	Revision int64  // of the written key; with Found, of the value that was read
+	Err      error  // nil, or wraps ErrConflict or ErrUnavailable
+	// Found is the claim read after a conflict, or zero. If it is of this epoch,
+	// an earlier write whose answer was lost took effect and the write is repeated.
+	Found record.Claim
 }
 
 // Tick lets time pass: deadlines, expired grants and early refusals.
@@ -117,17 +129,22 @@
 //sumtype:decl
 type Effect interface{ effect() }
 
-// Reply sends a Grant or Deny frame to an entry instance, which may be the owner itself.
+// Reply sends a Grant, Deny or Gather frame to an entry instance, which may be the owner itself.
 type Reply struct {
 	To    string
 	Frame message.Frame
 }
 
 // Write asks for a compare-and-swap of the claim or of one of its segments.
+//
+// Every Write but a deletion is answered by Written with its epoch and sequence.
+// At most one is in flight.
 type Write struct {
 	Record   record.Record // record.Claim or record.Segment
-	Expected int64
+	Expected int64         // a deletion with 0 applies to any revision
 	Delete   bool
+	Epoch    uint64
+	Sequence uint64
 }
 
 // Resign says that the claim was written by another owner: this epoch is over.
--- /dev/null
+++ b/internal/decision/dispatch/step.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+)
+
+// Step applies a message to the state and returns the new state and the effects to carry out in order.
+func Step(s State, m Message) (State, []Effect) {
+	s = s.withNow(when(m))
+	s, effects := s.expire()
+	s, more := s.apply(m)
+	effects = append(effects, more...)
+	s, more = s.advance().flush()
+	effects = append(effects, more...)
+	s, more = s.pump()
+	return s, append(effects, more...)
+}
+
+func (s State) apply(m Message) (State, []Effect) {
+	switch m := m.(type) {
+	case Configure:
+		return s.configure(m), nil
+	case Start:
+		return s.start(m)
+	case Prove:
+		return s.prove(m), nil
+	case Stop:
+		return s.stop()
+	case Ask:
+		return s.ask(m)
+	case Release:
+		return s.release(m), nil
+	case Withdraw:
+		return s.withdraw(m), nil
+	case Holding:
+		return s.holding(m)
+	case Reachable:
+		return s.reachable(m)
+	case Gone:
+		return s.gone(m), nil
+	case Written:
+		return s.finishWrite(m)
+	case Tick:
+		return s, nil
+	default:
+		panic(fmt.Sprintf("unknown dispatch message %T", m))
+	}
+}
+
+// when returns the time that a message carries.
+func when(m Message) time.Time {
+	switch m := m.(type) {
+	case Configure:
+		return m.Now
+	case Start:
+		return m.Now
+	case Prove:
+		return m.Now
+	case Stop:
+		return m.Now
+	case Ask:
+		return m.Now
+	case Release:
+		return m.Now
+	case Withdraw:
+		return m.Now
+	case Holding:
+		return m.Now
+	case Reachable:
+		return m.Now
+	case Gone:
+		return m.Now
+	case Written:
+		return m.Now
+	case Tick:
+		return m.Now
+	default:
+		panic(fmt.Sprintf("unknown dispatch message %T", m))
+	}
+}
+
+// expire ends the queued requests and the grants whose deadline has passed.
+func (s State) expire() (State, []Effect) {
+	var effects []Effect
+	for {
+		t, ok := s.queue.Due()
+		if !ok || t.request.Deadline.After(s.now) {
+			break
+		}
+		s = s.withoutTicket(t)
+		effects = append(effects, s.deny(t.from, t.request.ID, refusal(reasonDeadline, 0)))
+	}
+	for {
+		g, ok := s.grants.Due()
+		if !ok || g.deadline.After(s.now) {
+			break
+		}
+		s = s.withoutGrant(g).withEnded(g)
+	}
+	return s, effects
+}
--- a/internal/model/record/record.go
+++ b/internal/model/record/record.go
@@ -64,9 +64,10 @@
 
 // Claimed is one claimed idempotency key.
 type Claimed struct {
-	Hash  string `json:"hash"`
-	Entry string `json:"entry"` // entry instance that sends it
-	Time  int64  `json:"time"`  // Unix milliseconds
+	Hash    string `json:"hash"`
+	Entry   string `json:"entry"`             // entry instance that sends it
+	Request string `json:"request,omitempty"` // identifier of the request that holds the claim
+	Time    int64  `json:"time"`              // Unix milliseconds
 }
 
 // InstanceState says whether an instance may get work.
