Read configuration files, correct names, add the check command

Reads a base file and overlays as nodes with positions, so that every fault of a file is listed with file, line, column and field, also after merging. The process settings use the same strict decoding and now refuse duplicate keys and list all faults.

--- a/cmd/teaselloft/main.go
+++ b/cmd/teaselloft/main.go
@@ -6,6 +6,7 @@
 
 	"teaselloft/internal/core/command"
 
+	_ "teaselloft/internal/command/config"
 	_ "teaselloft/internal/command/process"
 )
 
--- /dev/null
+++ b/internal/command/config/doc.go
@@ -0,0 +1,2 @@
+// Package config holds the subcommands for the operators' configuration.
+package config
--- /dev/null
+++ b/internal/command/option/doc.go
@@ -0,0 +1,2 @@
+// Package option holds the flags, output forms and connections that the subcommands share.
+package option
--- a/internal/core/kernel/plugin.go
+++ b/internal/core/kernel/plugin.go
@@ -1,19 +1,20 @@
 package kernel
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"maps"
+	"reflect"
 	"slices"
 	"sync"
+
+	"teaselloft/internal/core/strict"
 )
 
 // Plugin is a registered part of a process.
 type Plugin struct {
 	Name  string
+	Check func(section strict.Node, field string) strict.Faults
 	Build func(h *Host, section json.RawMessage) ([]Duty, error)
 }
 
@@ -29,13 +30,27 @@
 	if _, ok := table.plugins[name]; ok {
 		panic(fmt.Sprintf("plug-in %q is registered twice", name))
 	}
-	table.plugins[name] = Plugin{Name: name, Build: func(h *Host, section json.RawMessage) ([]Duty, error) {
-		settings := defaults
-		if err := decodeStrict(section, &settings); err != nil {
-			return nil, fmt.Errorf("settings of plug-in %q: %w", name, err)
-		}
-		return build(h, settings)
-	}}
+	table.plugins[name] = Plugin{
+		Name: name,
+		Check: func(section strict.Node, field string) strict.Faults {
+			return strict.Check(section, reflect.TypeFor[S](), field)
+		},
+		Build: func(h *Host, section json.RawMessage) ([]Duty, error) {
+			settings := defaults
+			if err := decodeSection(section, &settings); err != nil {
+				return nil, fmt.Errorf("settings of plug-in %q: %w", name, err)
+			}
+			return build(h, settings)
+		},
+	}
+}
+
+// decodeSection decodes a section over the defaults in target; an empty section keeps them.
+func decodeSection(section json.RawMessage, target any) error {
+	if len(section) == 0 {
+		return nil
+	}
+	return strict.Decode("", section, target)
 }
 
 // Names returns the sorted names of the registered plug-ins.
@@ -51,18 +66,3 @@
 	p, ok := table.plugins[name]
 	return p, ok
 }
-
-func decodeStrict(data []byte, target any) error {
-	if len(data) == 0 {
-		return nil
-	}
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(target); err != nil {
-		return err
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("trailing data after the settings")
-	}
-	return nil
-}
--- a/internal/core/kernel/settings.go
+++ b/internal/core/kernel/settings.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"slices"
+	"reflect"
 	"time"
+
+	"teaselloft/internal/core/strict"
 )
 
 // ErrSettings is wrapped by every error about a process's settings.
@@ -27,24 +29,44 @@
 	Plugins map[string]json.RawMessage `json:"plugins"`
 }
 
-// ParseSettings decodes settings; unknown fields and plug-ins are errors that wrap ErrSettings.
+// ParseSettings decodes settings; its error wraps ErrSettings and a *strict.FaultsError that lists every fault.
 func ParseSettings(data []byte) (Settings, error) {
+	root, faults := strict.Parse("", data)
+	faults = append(faults, strict.Check(root, reflect.TypeFor[Settings](), "")...)
+	if _, ok := root.Value.(strict.Object); ok {
+		faults = append(faults, checkName(root)...)
+		faults = append(faults, checkPlugins(root.Field("plugins"))...)
+	}
+	if err := faults.Sorted().Err(); err != nil {
+		return Settings{}, fmt.Errorf("%w:\n%w", ErrSettings, err)
+	}
 	s := Settings{Log: DefaultLog}
-	if err := decodeStrict(data, &s); err != nil {
+	if err := strict.DecodeNode(root, &s); err != nil {
 		return Settings{}, fmt.Errorf("%w: %w", ErrSettings, err)
 	}
-	var faults []error
-	if s.Name == "" {
-		faults = append(faults, errors.New(`field "name" is missing`))
+	return s, nil
+}
+
+func checkName(root strict.Node) strict.Faults {
+	name := root.Field("name")
+	if _, ok := name.Value.(strict.String); name.Exists() && (!ok || name.Text() != "") {
+		return nil
 	}
-	known := Names()
-	for name := range s.Plugins {
-		if !slices.Contains(known, name) {
-			faults = append(faults, fmt.Errorf("plug-in %q does not exist", name))
+	return strict.Faults{{At: root.At, Field: "name", Message: "must not be empty"}}
+}
+
+// checkPlugins checks each section against the settings of its plug-in.
+func checkPlugins(plugins strict.Node) strict.Faults {
+	var faults strict.Faults
+	object, _ := plugins.Value.(strict.Object)
+	for _, m := range object.Members {
+		field := strict.Join("plugins", m.Name)
+		p, ok := lookup(m.Name)
+		if !ok {
+			faults = append(faults, strict.Fault{At: m.At, Field: field, Message: "plug-in does not exist"})
+			continue
 		}
+		faults = append(faults, p.Check(m.Value, field)...)
 	}
-	if len(faults) > 0 {
-		return Settings{}, fmt.Errorf("%w: %w", ErrSettings, errors.Join(faults...))
-	}
-	return s, nil
+	return faults
 }
--- /dev/null
+++ b/internal/core/strict/parse.go
@@ -0,0 +1,207 @@
+package strict
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"unicode/utf8"
+)
+
+// maxDepth bounds nesting, so that a hostile document cannot exhaust the stack.
+const maxDepth = 64
+
+// errNesting reports a document that is nested deeper than maxDepth.
+var errNesting = fmt.Errorf("nested deeper than %d levels", maxDepth)
+
+// Parse returns the document as nodes and its faults of syntax, encoding and duplicate keys.
+//
+// The node is the zero Node when there is a fault of syntax.
+func Parse(file string, data []byte) (Node, Faults) {
+	p := &parser{file: file, data: data, lines: lineStarts(data), decoder: json.NewDecoder(bytes.NewReader(data))}
+	p.decoder.UseNumber()
+	p.checkEncoding()
+	root, err := p.parseValue("", 0)
+	if err != nil {
+		p.addSyntax(err)
+		return Node{}, p.faults
+	}
+	if rest := p.skip(p.decoder.InputOffset()); rest < int64(len(data)) {
+		p.add(rest, "", "trailing data after the document")
+	}
+	return root, p.faults
+}
+
+type parser struct {
+	file    string
+	data    []byte
+	lines   []int64 // offset of the start of each line
+	decoder *json.Decoder
+	faults  Faults
+}
+
+func lineStarts(data []byte) []int64 {
+	starts := []int64{0}
+	for i, b := range data {
+		if b == '\n' {
+			starts = append(starts, int64(i+1))
+		}
+	}
+	return starts
+}
+
+func (p *parser) position(offset int64) Position {
+	line := sort.Search(len(p.lines), func(i int) bool { return p.lines[i] > offset })
+	return Position{File: p.file, Line: line, Column: int(offset-p.lines[line-1]) + 1}
+}
+
+func (p *parser) add(offset int64, field, message string) {
+	p.faults = append(p.faults, Fault{At: p.position(offset), Field: field, Message: message})
+}
+
+// checkEncoding reports the first invalid byte of each line that has one.
+func (p *parser) checkEncoding() {
+	for i, start := range p.lines {
+		end := int64(len(p.data))
+		if i+1 < len(p.lines) {
+			end = p.lines[i+1]
+		}
+		if at := invalidByte(p.data[start:end]); at >= 0 {
+			p.add(start+int64(at), "", "invalid UTF-8")
+		}
+	}
+}
+
+func invalidByte(text []byte) int {
+	for i := 0; i < len(text); {
+		r, size := utf8.DecodeRune(text[i:])
+		if r == utf8.RuneError && size <= 1 {
+			return i
+		}
+		i += size
+	}
+	return -1
+}
+
+// skip returns the offset of the next byte that is neither white space nor a separator of tokens.
+func (p *parser) skip(offset int64) int64 {
+	for offset < int64(len(p.data)) && bytes.IndexByte([]byte(" \t\r\n"), p.data[offset]) >= 0 {
+		offset++
+	}
+	return offset
+}
+
+func (p *parser) skipSeparators(offset int64) int64 {
+	for offset < int64(len(p.data)) && bytes.IndexByte([]byte(" \t\r\n,:"), p.data[offset]) >= 0 {
+		offset++
+	}
+	return offset
+}
+
+// next returns the next token and the offset at which it starts.
+func (p *parser) next() (json.Token, int64, error) {
+	start := p.skipSeparators(p.decoder.InputOffset())
+	token, err := p.decoder.Token()
+	return token, start, err
+}
+
+func (p *parser) parseValue(field string, depth int) (Node, error) {
+	token, start, err := p.next()
+	if err != nil {
+		return Node{}, err
+	}
+	node := Node{At: p.position(start)}
+	switch t := token.(type) {
+	case json.Delim:
+		if depth >= maxDepth {
+			return node, errNesting
+		}
+		if t == '{' {
+			node.Value, err = p.parseObject(field, depth+1)
+		} else {
+			node.Value, err = p.parseArray(field, depth+1)
+		}
+	case string:
+		node.Value = String{Text: t}
+	case json.Number:
+		node.Value = Number{Text: t.String()}
+	case bool:
+		node.Value = Bool{True: t}
+	case nil:
+		node.Value = Null{}
+	default:
+		panic(fmt.Sprintf("unhandled JSON token %T", token))
+	}
+	return node, err
+}
+
+func (p *parser) parseObject(field string, depth int) (Object, error) {
+	var object Object
+	seen := map[string]Position{}
+	for p.decoder.More() {
+		token, start, err := p.next()
+		if err != nil {
+			return object, err
+		}
+		name, ok := token.(string)
+		if !ok {
+			return object, errors.New("object key is not a string")
+		}
+		path := Join(field, name)
+		member := Member{Name: name, At: p.position(start)}
+		first, again := seen[name]
+		if again {
+			p.add(start, path, fmt.Sprintf("duplicate key, first used on line %d", first.Line))
+		}
+		member.Value, err = p.parseValue(path, depth)
+		if !again {
+			seen[name] = member.At
+			object.Members = append(object.Members, member)
+		}
+		if err != nil {
+			return object, err
+		}
+	}
+	_, _, err := p.next()
+	return object, err
+}
+
+func (p *parser) parseArray(field string, depth int) (Array, error) {
+	var array Array
+	for p.decoder.More() {
+		item, err := p.parseValue(Index(field, len(array.Items)), depth)
+		array.Items = append(array.Items, item)
+		if err != nil {
+			return array, err
+		}
+	}
+	_, _, err := p.next()
+	return array, err
+}
+
+func (p *parser) addSyntax(err error) {
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(err, &syntax):
+		p.add(max(syntax.Offset-1, 0), "", err.Error())
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		p.add(int64(len(p.data)), "", "unexpected end of the document")
+	default:
+		p.add(p.decoder.InputOffset(), "", err.Error())
+	}
+}
+
+// Join returns the path of a member of the object at path.
+func Join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// Index returns the path of an item of the array at path.
+func Index(path string, i int) string {
+	return fmt.Sprintf("%s[%d]", path, i)
+}
--- a/internal/model/fleet/fleet.go
+++ b/internal/model/fleet/fleet.go
@@ -64,10 +64,15 @@
 	Available int `json:"available"` // serving instances needed at all times
 }
 
+// SourceBase is the source of a correction that the base file declares.
+const SourceBase = "base"
+
 // Correction maps a misspelled service name to the right one.
 type Correction struct {
-	From string `json:"from"`
-	To   string `json:"to"`
+	From   string `json:"from"`
+	To     string `json:"to"`               // a service, or another correction
+	Fleet  string `json:"fleet,omitempty"`  // fleet that it belongs to, that of the service when empty
+	Source string `json:"source,omitempty"` // site of the overlay that declared it, or SourceBase
 }
 
 // Service returns the service with the given name and whether there is one.
@@ -122,3 +127,9 @@
 	f.Corrections = corrections
 	return f
 }
+
+// WithSource returns a copy that names where it was declared.
+func (c Correction) WithSource(source string) Correction {
+	c.Source = source
+	return c
+}
--- /dev/null
+++ b/internal/settings/file/read.go
@@ -0,0 +1,127 @@
+package file
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"teaselloft/internal/core/strict"
+	"teaselloft/internal/model/fleet"
+)
+
+// Source is a configuration file.
+type Source struct {
+	Name string
+	Data []byte
+}
+
+// Config is a configuration with where it came from.
+type Config struct {
+	Fleet fleet.Fleet
+	Site  string // of the overlays, empty without an overlay
+	root  strict.Node
+}
+
+// Origin returns the position of the value at a field such as services[flag-calendar].slots.
+func (c Config) Origin(field string) (strict.Position, bool) {
+	n, ok := find(c.root, field)
+	return n.At, ok
+}
+
+// Read merges the overlays of one site over a base file; its error is a *strict.FaultsError that lists every fault.
+func Read(base Source, overlays ...Source) (Config, error) {
+	root, faults := parse(base, reflect.TypeFor[baseDocument]())
+	complete := root.Exists()
+	sites := map[string]string{base.Name: fleet.SourceBase}
+	site := ""
+	for _, o := range overlays {
+		over, found := parse(o, reflect.TypeFor[overlayDocument]())
+		faults = append(faults, found...)
+		if !over.Exists() {
+			complete = false
+			continue
+		}
+		faults = append(faults, checkSite(over, site)...)
+		site = over.Field(fieldSite).Text()
+		sites[o.Name] = site
+		root, found = merge(root, over)
+		faults = append(faults, found...)
+	}
+	if complete {
+		faults = append(faults, validate(root)...)
+	}
+	if err := faults.Sorted().Err(); err != nil {
+		return Config{}, err
+	}
+	f, err := decode(root, sites)
+	return Config{Fleet: f, Site: site, root: root}, err
+}
+
+// Site returns the site that an overlay names, or an empty string.
+func Site(overlay Source) string {
+	root, _ := strict.Parse(overlay.Name, overlay.Data)
+	return root.Field(fieldSite).Text()
+}
+
+// parse returns a file's nodes, or the zero Node when they cannot be merged.
+func parse(s Source, t reflect.Type) (strict.Node, strict.Faults) {
+	root, faults := strict.Parse(s.Name, s.Data)
+	faults = append(faults, strict.Check(root, t, "")...)
+	if _, ok := root.Value.(strict.Object); !ok {
+		return strict.Node{}, faults
+	}
+	faults = append(faults, checkSigns(root, "")...)
+	return root, append(faults, checkKeys(root, "")...)
+}
+
+// checkSigns reports negative numbers, which no field of a configuration may hold.
+func checkSigns(n strict.Node, path string) strict.Faults {
+	var faults strict.Faults
+	switch v := n.Value.(type) {
+	case strict.Object:
+		for _, m := range v.Members {
+			faults = append(faults, checkSigns(m.Value, strict.Join(path, m.Name))...)
+		}
+	case strict.Array:
+		for i, item := range v.Items {
+			faults = append(faults, checkSigns(item, strict.Index(path, i))...)
+		}
+	case strict.Number:
+		if strings.HasPrefix(v.Text, "-") && path != "version" {
+			faults = append(faults, strict.Fault{At: n.At, Field: path, Message: "must not be negative"})
+		}
+	case nil, strict.String, strict.Bool, strict.Null:
+	default:
+		panic(fmt.Sprintf("unhandled JSON value %T", v))
+	}
+	return faults
+}
+
+func checkSite(over strict.Node, before string) strict.Faults {
+	site := over.Field(fieldSite)
+	switch name := site.Text(); {
+	case !site.Exists() || name == "" && isString(site):
+		return strict.Faults{{At: over.At, Field: fieldSite, Message: "an overlay must name its site"}}
+	case before != "" && name != before:
+		return strict.Faults{{At: site.At, Field: fieldSite, Message: fmt.Sprintf("the overlay before it is of site %q", before)}}
+	}
+	return nil
+}
+
+func isString(n strict.Node) bool {
+	_, ok := n.Value.(strict.String)
+	return ok
+}
+
+// decode returns the fleet of a valid document and sets the source of its corrections.
+func decode(root strict.Node, sites map[string]string) (fleet.Fleet, error) {
+	var f fleet.Fleet
+	if err := strict.DecodeNode(without(root, fieldSite), &f); err != nil {
+		return fleet.Fleet{}, err
+	}
+	corrections := make([]fleet.Correction, 0, len(f.Corrections))
+	for i, c := range root.Field("corrections").Items() {
+		corrections = append(corrections, f.Corrections[i].WithSource(sites[c.Field("to").At.File]))
+	}
+	return f.WithCorrections(corrections), nil
+}
--- /dev/null
+++ b/internal/settings/file/validate_service.go
@@ -0,0 +1,76 @@
+package file
+
+import (
+	"unicode/utf8"
+
+	"teaselloft/internal/core/strict"
+	"teaselloft/internal/model/fleet"
+)
+
+func (v *validator) checkServices() {
+	for _, s := range v.services {
+		v.checkName(s, "name")
+		v.checkReserved(s, "name")
+		v.require(s, "fleet")
+		v.checkTeam(s)
+		v.checkServicePool(s)
+		v.checkSize(s, "slots", 1)
+		v.checkSize(s, "connections", 1)
+		v.checkConnections(s)
+		v.checkNearest(s)
+	}
+}
+
+func (v *validator) checkTeam(s element) {
+	team, ok := s.text("team")
+	if _, exists := v.team[fleet.Normalize(team)]; ok && !exists {
+		v.add(s.node, s.path, "team", "team %q does not exist", team)
+	}
+}
+
+func (v *validator) checkServicePool(s element) {
+	name, ok := v.require(s, "pool")
+	if !ok {
+		return
+	}
+	p, ok := v.pool[fleet.Normalize(name)]
+	if !ok {
+		v.add(s.node, s.path, "pool", "pool %q does not exist", name)
+		return
+	}
+	if v.isSpare(p) {
+		v.add(s.node, s.path, "pool", "pool %q is the spare pool, no service runs in it", name)
+		return
+	}
+	mine, ok := s.text("fleet")
+	its, also := p.text("fleet")
+	if ok && also && mine != its {
+		v.add(s.node, s.path, "pool", "pool %q is of fleet %q, the service is of fleet %q", name, its, mine)
+	}
+	v.checkBudget(s, p)
+}
+
+func (v *validator) checkBudget(s, p element) {
+	budget := s.node.Field("budget")
+	available, ok := number(budget.Field("available"))
+	if have := instancesOf(p); ok && available > have {
+		v.add(budget, strict.Join(s.path, "budget"), "available", "pool %q has %d instances, the budget of %d can never be met", p.name, have, available)
+	}
+}
+
+// checkConnections requires a connection for each slot, since every running request holds one.
+func (v *validator) checkConnections(s element) {
+	slots, ok := number(s.node.Field("slots"))
+	connections, also := number(s.node.Field("connections"))
+	if ok && also && connections >= 1 && connections < slots {
+		v.add(s.node, s.path, "connections", "must be at least the %d slots", slots)
+	}
+}
+
+// checkNearest refuses a distance that would let any name of that length match.
+func (v *validator) checkNearest(s element) {
+	nearest, ok := number(s.node.Field("nearest"))
+	if length := utf8.RuneCountInString(s.name); ok && nearest >= length {
+		v.add(s.node, s.path, "nearest", "must be less than the name's %d characters", length)
+	}
+}
