Add the maintenance wave decision with its ledger and dry run

A wave takes an instance out only after the ledgers of its pool list it, and an instance starts to drain at the revision that its ledger entry names, so that a delayed write of a stale planner cannot spend headroom twice.

--- /dev/null
+++ b/internal/decision/wave/command.go
@@ -0,0 +1,47 @@
+package wave
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"teaselloft/internal/model/record"
+)
+
+// ErrPhase is wrapped by the error about a command that does not fit the wave's phase.
+var ErrPhase = errors.New("command does not fit the phase of the wave")
+
+// Command is what an operator does with a wave.
+type Command string
+
+// The operators' commands.
+const (
+	Start  Command = "start"
+	Pause  Command = "pause"
+	Resume Command = "resume"
+	Cancel Command = "cancel"
+)
+
+// Apply returns the wave after the command; the error wraps ErrPhase and the wave is unchanged.
+func Apply(w record.Wave, c Command, now time.Time) (record.Wave, error) {
+	next, ok := transition(w.Phase, c)
+	if !ok {
+		return w, fmt.Errorf("%s wave %q in phase %q: %w", c, w.ID, w.Phase, ErrPhase)
+	}
+	return w.WithPhase(next, now), nil
+}
+
+func transition(from record.WavePhase, c Command) (record.WavePhase, bool) {
+	switch c {
+	case Start:
+		return record.Running, from == record.Planned
+	case Pause:
+		return record.Paused, from == record.Running
+	case Resume:
+		return record.Running, from == record.Paused || from == record.Stopped
+	case Cancel:
+		return record.Cancelled, from != record.Done && from != record.Cancelled
+	default:
+		return from, false
+	}
+}
--- /dev/null
+++ b/internal/decision/wave/instance.go
@@ -0,0 +1,166 @@
+package wave
+
+import (
+	"fmt"
+	"log/slog"
+
+	"teaselloft/internal/model/record"
+)
+
+// advanceInstances moves each instance on that is out or reserved.
+func (p *pass) advanceInstances() {
+	for itr := p.state.instances.Iterator(); !itr.Done(); {
+		id, _, _ := itr.Next()
+		k, _ := p.state.Instance(id)
+		p.advance(k)
+	}
+	for _, v := range p.services {
+		for _, id := range v.ledger.Out {
+			if _, recorded := p.state.instances.Get(id); recorded {
+				continue
+			}
+			if k, ok := p.state.Instance(id); ok {
+				p.advance(k)
+			}
+		}
+	}
+}
+
+func (p *pass) advance(k Kept[record.Instance]) {
+	if !p.idle(k.Record.Key()) || k.Record.State != record.Serving && !managed(k.Record) {
+		return
+	}
+	switch k.Record.State {
+	case record.Serving:
+		p.serving(k)
+	case record.Draining:
+		p.draining(k)
+	case record.Rebooting:
+		p.rebooting(k)
+	case record.Out:
+		p.out(k)
+	default: // a state of a newer version is left alone
+	}
+}
+
+// serving lets a fully reserved instance drain, or gives up a reservation that nobody wants any more.
+func (p *pass) serving(k Kept[record.Instance]) {
+	r := k.Record
+	some, all := p.reserved(k)
+	if !some {
+		return
+	}
+	wave, wanted := p.wanted[r.ID]
+	switch {
+	case !wanted && r.Target == "":
+		p.write(r, k.Revision) // an equal value with a new revision fences delayed writes
+	case all:
+		p.drain(k, wave)
+	}
+}
+
+// drain starts to take an instance out.
+func (p *pass) drain(k Kept[record.Instance], wave string) {
+	r := k.Record.WithState(record.Draining, p.state.now).WithWave(wave, "")
+	p.write(r, k.Revision)
+	p.note(notice(slog.LevelInfo, "instance.drain", "instance leaves service", "instance", r.ID,
+		"pool", r.Pool, "target", r.Target, "wave", wave))
+}
+
+// reserved returns whether any and whether all ledgers of the pool list the instance at its present revision.
+func (p *pass) reserved(k Kept[record.Instance]) (some, all bool) {
+	all = len(p.byPool[k.Record.Pool]) > 0
+	for _, v := range p.byPool[k.Record.Pool] {
+		at, ok := v.kept.Record.At[k.Record.ID]
+		match := ok && v.lists(k.Record.ID) && at == k.Revision
+		some = some || match
+		all = all && match && v.kept.Record.Epoch == p.state.epoch
+	}
+	return some, all
+}
+
+func (p *pass) draining(k Kept[record.Instance]) {
+	r, now, limits := k.Record, p.state.now, p.state.settings
+	if r.Target == "" && p.cancelled(r.Wave) {
+		p.undrain(k, "wave cancelled")
+		return
+	}
+	seen, known := p.state.flights.Get(r.ID)
+	fresh := known && !seen.at.Before(r.Since.Add(limits.Grace))
+	if fresh && seen.count == 0 {
+		p.write(r.WithState(record.Rebooting, now).WithWave(r.Wave, ""), k.Revision)
+		p.note(notice(slog.LevelInfo, "instance.reboot", "instance is drained", "instance", r.ID, "wave", r.Wave))
+		return
+	}
+	p.blocked[r.ID] = drainReason(seen, known, fresh)
+	if now.Sub(r.Since) > limits.DrainLimit && r.Reason == "" {
+		reason := fmt.Sprintf("drain exceeds %s, waits for the operator", limits.DrainLimit)
+		p.write(r.WithWave(r.Wave, reason), k.Revision)
+		p.note(notice(slog.LevelWarn, "instance.stuck", "drain exceeds its limit and waits for the operator",
+			"instance", r.ID, "wave", r.Wave, "inflight", seen.count))
+	}
+}
+
+func drainReason(seen flight, known, fresh bool) string {
+	switch {
+	case !known || seen.count < 0:
+		return "requests in flight are unknown"
+	case !fresh:
+		return "the drain has just begun"
+	default:
+		return fmt.Sprintf("%d requests in flight", seen.count)
+	}
+}
+
+// cancelled returns whether an instance that drains for the wave has to serve again.
+func (p *pass) cancelled(wave string) bool {
+	k, ok := p.state.Wave(wave)
+	return !ok || k.Record.Phase == record.Cancelled
+}
+
+// undrain returns a draining instance to service; the wave maintains it later.
+func (p *pass) undrain(k Kept[record.Instance], reason string) {
+	p.write(k.Record.WithState(record.Serving, p.state.now).WithWave("", reason), k.Revision)
+	p.note(notice(slog.LevelInfo, "instance.undrain", "draining instance serves again", "instance", k.Record.ID,
+		"wave", k.Record.Wave, "reason", reason))
+}
+
+func (p *pass) rebooting(k Kept[record.Instance]) {
+	r, s := k.Record, p.state
+	gone, absent := s.gone.Get(r.ID)
+	rebooted := absent && gone.After(r.Since)
+	settled := s.listedAt.Sub(r.Since) >= s.settings.Settle
+	if s.Live(r.ID) && (rebooted || settled) {
+		p.comeBack(k)
+		return
+	}
+	p.blocked[r.ID] = "not yet live after its reboot"
+	if s.now.Sub(r.Since) > s.settings.ReturnLimit && !s.Live(r.ID) {
+		reason := fmt.Sprintf("not live %s after its reboot began", s.settings.ReturnLimit)
+		p.write(r.WithState(record.Out, s.now).WithWave(r.Wave, reason), k.Revision)
+		p.note(notice(slog.LevelWarn, "instance.failed", "instance did not come back", "instance", r.ID,
+			"wave", r.Wave, "reason", reason))
+	}
+}
+
+// out returns a failed instance to service when it is live after all.
+func (p *pass) out(k Kept[record.Instance]) {
+	if p.state.Live(k.Record.ID) {
+		p.comeBack(k)
+		return
+	}
+	p.blocked[k.Record.ID] = k.Record.Reason
+}
+
+// comeBack returns an instance to service, in its new pool if it moves.
+func (p *pass) comeBack(k Kept[record.Instance]) {
+	r := k.Record.WithState(record.Serving, p.state.now).WithWave(k.Record.Wave, "")
+	if _, exists := p.state.fleet.Pool(r.Target); exists {
+		r = r.WithPool(r.Target)
+	}
+	p.state.gone = p.state.gone.Delete(r.ID)
+	p.state.flights = p.state.flights.Delete(r.ID)
+	p.write(r.WithTarget(""), k.Revision)
+	p.note(notice(slog.LevelInfo, "instance.return", "instance serves again", "instance", r.ID, "pool", r.Pool,
+		"wave", r.Wave))
+}
--- /dev/null
+++ b/internal/decision/wave/progress.go
@@ -0,0 +1,201 @@
+package wave
+
+import (
+	"cmp"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"teaselloft/internal/model/record"
+)
+
+// The steps of an instance in a wave.
+const (
+	StepPending   = "pending"
+	StepDraining  = "draining"
+	StepRebooting = "rebooting"
+	StepReturned  = "returned"
+	StepFailed    = "failed"
+)
+
+// reportWaves ends or stops waves and writes their progress, at most once per ReportEvery unless the phase changes.
+func (p *pass) reportWaves() {
+	known := p.state.waves
+	for itr := known.Iterator(); !itr.Done(); {
+		_, k, _ := itr.Next()
+		if k.Record.Phase != record.Planned && p.idle(k.Record.Key()) {
+			p.reportWave(k)
+		}
+	}
+}
+
+func (p *pass) reportWave(k Kept[record.Wave]) {
+	w := k.Record
+	progress := p.state.Progress(w)
+	phase := p.nextPhase(w, progress)
+	if phase != w.Phase {
+		w = w.WithPhase(phase, p.state.now)
+		level := slog.LevelInfo
+		if phase == record.Stopped {
+			level = slog.LevelWarn
+		}
+		p.note(notice(level, "wave."+string(phase), "wave changes its phase", "wave", w.ID))
+	} else if same(w.Progress, progress) {
+		return
+	}
+	last, reported := p.state.reports.Get(w.ID)
+	if phase == k.Record.Phase && reported && p.state.now.Sub(last) < p.state.settings.ReportEvery {
+		return
+	}
+	p.state.reports = p.state.reports.Set(w.ID, p.state.now)
+	p.write(w.WithProgress(progress), k.Revision)
+}
+
+// Progress derives a wave's progress from the instance records, which alone are authoritative.
+func (s State) Progress(w record.Wave) map[string]record.WaveProgress {
+	progress := make(map[string]record.WaveProgress, len(w.Progress))
+	for id := range s.declared {
+		k, _ := s.Instance(id)
+		r := k.Record
+		if r.Wave == w.ID || s.selects(w, r) {
+			progress[id] = progressOf(w, r)
+		}
+	}
+	return progress
+}
+
+func progressOf(w record.Wave, r record.Instance) record.WaveProgress {
+	if r.Wave != w.ID {
+		return record.WaveProgress{Step: StepPending, Reason: r.Reason}
+	}
+	step := StepPending
+	switch r.State {
+	case record.Serving:
+		step = StepReturned
+	case record.Draining:
+		step = StepDraining
+	case record.Rebooting:
+		step = StepRebooting
+	case record.Out:
+		step = StepFailed
+	default: // a state of a newer version
+	}
+	return record.WaveProgress{Step: step, Since: r.Since, Reason: r.Reason}
+}
+
+func same(a, b map[string]record.WaveProgress) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id, x := range a {
+		y, ok := b[id]
+		if !ok || x.Step != y.Step || x.Reason != y.Reason || !x.Since.Equal(y.Since) {
+			return false
+		}
+	}
+	return true
+}
+
+// nextPhase returns the phase that follows from the progress.
+func (p *pass) nextPhase(w record.Wave, progress map[string]record.WaveProgress) record.WavePhase {
+	if w.Phase != record.Running {
+		return w.Phase
+	}
+	if failures(w, progress, p.state.settings.FailWindow) >= p.state.settings.FailuresStop {
+		return record.Stopped
+	}
+	for _, g := range progress {
+		if g.Step != StepReturned && g.Step != StepFailed {
+			return record.Running
+		}
+	}
+	return record.Done
+}
+
+// failures counts the failed among the last finished instances since the wave began to run.
+func failures(w record.Wave, progress map[string]record.WaveProgress, window int) int {
+	var finished []record.WaveProgress
+	for _, g := range progress {
+		if (g.Step == StepReturned || g.Step == StepFailed) && g.Since.After(w.Since) {
+			finished = append(finished, g)
+		}
+	}
+	slices.SortFunc(finished, func(a, b record.WaveProgress) int {
+		return cmp.Or(b.Since.Compare(a.Since), cmp.Compare(a.Step, b.Step))
+	})
+	failed := 0
+	for _, g := range finished[:min(window, len(finished))] {
+		if g.Step == StepFailed {
+			failed++
+		}
+	}
+	return failed
+}
+
+// Wake returns when Step has to see the time again if nothing else happens, zero for never.
+func (s State) Wake() time.Time {
+	var wake time.Time
+	at := func(t time.Time) {
+		if t.After(s.now) && (wake.IsZero() || t.Before(wake)) {
+			wake = t
+		}
+	}
+	for itr := s.open.Iterator(); !itr.Done(); {
+		_, o, _ := itr.Next()
+		if o.doubt {
+			at(o.next)
+		}
+	}
+	if s.epoch > 0 && !s.loaded {
+		at(s.loading)
+	}
+	for itr := s.instances.Iterator(); !itr.Done(); {
+		_, k, _ := itr.Next()
+		s.wakeFor(k.Record, at)
+	}
+	for itr := s.held.Iterator(); !itr.Done(); {
+		_, t, _ := itr.Next()
+		at(t)
+	}
+	for itr := s.reports.Iterator(); !itr.Done(); {
+		_, t, _ := itr.Next()
+		at(t.Add(s.settings.ReportEvery))
+	}
+	return wake
+}
+
+func (s State) wakeFor(r record.Instance, at func(time.Time)) {
+	switch r.State {
+	case record.Draining:
+		at(r.Since.Add(s.settings.Grace))
+		at(r.Since.Add(s.settings.DrainLimit + time.Second))
+	case record.Rebooting:
+		at(r.Since.Add(s.settings.Settle))
+		at(r.Since.Add(s.settings.ReturnLimit + time.Second))
+	case record.Serving, record.Out: // the next instance list or record wakes the planner
+	default: // a state of a newer version is left alone
+	}
+}
+
+// Draining returns the draining instances, whose requests in flight the planner has to know.
+func (s State) Draining() []string {
+	var ids []string
+	for itr := s.instances.Iterator(); !itr.Done(); {
+		id, k, _ := itr.Next()
+		if k.Record.State == record.Draining {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Summary returns a short line on a wave's progress.
+func Summary(w record.Wave) string {
+	counts := map[string]int{}
+	for _, g := range w.Progress {
+		counts[g.Step]++
+	}
+	return fmt.Sprintf("%d pending, %d draining, %d rebooting, %d returned, %d failed", counts[StepPending],
+		counts[StepDraining], counts[StepRebooting], counts[StepReturned], counts[StepFailed])
+}
--- /dev/null
+++ b/internal/decision/wave/wave_test.go
@@ -0,0 +1,108 @@
+package wave_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"teaselloft/internal/decision/wave"
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+// sample returns a fleet of one service in three zones with two racks each, and a spare pool.
+func sample(perRack int, b fleet.Budget) fleet.Fleet {
+	pool := fleet.Pool{Name: "calendar", Fleet: "halyard"}
+	spare := fleet.Pool{Name: "backoffice", Fleet: "halyard"}
+	for _, zone := range []string{"a", "b", "c"} {
+		for rack := range 2 {
+			for n := range perRack {
+				pool.Instances = append(pool.Instances, fleet.Instance{
+					ID: fmt.Sprintf("cal-%s%d-%d", zone, rack, n), Zone: zone, Rack: fmt.Sprintf("%s%d", zone, rack),
+				})
+			}
+		}
+	}
+	return fleet.Fleet{
+		Version: 1, Spare: spare.Name, Zones: []string{"a", "b", "c"},
+		Pools:    []fleet.Pool{pool, spare},
+		Services: []fleet.Service{{Name: "flag-calendar", Pool: pool.Name, Slots: 8, Budget: b}},
+	}
+}
+
+func listing(f fleet.Fleet) []message.Listing {
+	var list []message.Listing
+	for _, p := range f.Pools {
+		for _, i := range p.Instances {
+			list = append(list, message.Listing{ID: i.ID, Zone: i.Zone, Rack: i.Rack, State: "live"})
+		}
+	}
+	return list
+}
+
+func steps(s wave.State, messages ...wave.Message) (wave.State, []wave.Effect) {
+	var effects []wave.Effect
+	for _, m := range messages {
+		var more []wave.Effect
+		s, more = wave.Step(s, m)
+		effects = append(effects, more...)
+	}
+	return s, effects
+}
+
+// known returns a planner of the epoch that knows the fleet and its list.
+func known(f fleet.Fleet) wave.State {
+	s, _ := steps(wave.New(wave.Defaults()),
+		wave.Configure{Fleet: f},
+		wave.Listed{Now: start, Instances: listing(f)},
+		wave.Won{Now: start, Epoch: 1, Until: start.Add(time.Hour)},
+		wave.Loaded{},
+	)
+	return s
+}
+
+func fixed(d time.Duration) func(string) time.Duration {
+	return func(string) time.Duration { return d }
+}
+
+// Guards against a wave that takes out more than the budget allows, or leaves an instance behind.
+func TestPlanMaintainsEveryInstanceOnce(t *testing.T) {
+	c := qt.New(t)
+	f := sample(2, fleet.Budget{Available: 6, Domain: fleet.DomainZone})
+	w := record.Wave{ID: "w1", Pool: "calendar"}
+	plan, err := wave.Plan(known(f), w, start, wave.Expect{Drain: fixed(time.Minute), Reboot: fixed(3 * time.Minute)})
+	c.Assert(err, qt.IsNil)
+	c.Assert(plan.Blocked, qt.HasLen, 0)
+	c.Assert(plan.Outages, qt.HasLen, 12)
+	seen := map[string]bool{}
+	for _, o := range plan.Outages {
+		c.Assert(seen[o.Instance], qt.IsFalse)
+		seen[o.Instance] = true
+		together := 0
+		for _, other := range plan.Outages {
+			if other.Start.Before(o.End) && o.Start.Before(other.End) {
+				together++
+				c.Assert(other.Place.Zone, qt.Equals, o.Place.Zone)
+			}
+		}
+		c.Assert(together <= 4, qt.IsTrue)
+	}
+	c.Assert(plan.End.Sub(start) < 6*4*time.Minute+time.Minute, qt.IsTrue, qt.Commentf("end %s", plan.End.Sub(start)))
+}
+
+// Guards against a budget that a wave can never meet going unreported.
+func TestPlanListsBlockedInstances(t *testing.T) {
+	c := qt.New(t)
+	f := sample(1, fleet.Budget{Available: 6, Domain: fleet.DomainRack})
+	plan, err := wave.Plan(known(f), record.Wave{ID: "w1"}, start, wave.Expect{Drain: fixed(0), Reboot: fixed(0)})
+	c.Assert(err, qt.IsNil)
+	c.Assert(plan.Outages, qt.HasLen, 0)
+	c.Assert(plan.Blocked, qt.HasLen, 6)
+	c.Assert(plan.Blocked["cal-a0-0"], qt.Equals,
+		`service "flag-calendar" has 6 serving and needs 6 after the loss of its largest rack`)
+}
--- a/internal/model/fleet/fleet.go
+++ b/internal/model/fleet/fleet.go
@@ -61,7 +61,8 @@
 
 // Budget is a service's availability budget.
 type Budget struct {
-	Available int `json:"available"` // serving instances needed at all times
+	Available int    `json:"available"`        // serving instances needed at all times
+	Domain    Domain `json:"domain,omitempty"` // failure domain whose loss must leave Available instances
 }
 
 // Correction maps a misspelled service name to the right one.
--- a/internal/model/record/record.go
+++ b/internal/model/record/record.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -96,6 +98,11 @@
 	Service string   `json:"service"`
 	Epoch   uint64   `json:"epoch"` // of the planner that wrote it
 	Out     []string `json:"out"`
+
+	// At holds the revision of each instance's record when it was entered. An instance starts to
+	// drain at exactly that revision and leaves the ledger only at a later one, so that a delayed
+	// write cannot take out an instance that the ledger no longer lists.
+	At map[string]int64 `json:"at,omitempty"`
 }
 
 // Head names the configuration in force.
@@ -118,6 +125,7 @@
 	Most      int                     `json:"most"` // instances out at a time
 	By        time.Time               `json:"by"`
 	Phase     WavePhase               `json:"phase"`
+	Since     time.Time               `json:"since"` // when the phase began
 	Progress  map[string]WaveProgress `json:"progress"`
 }
 
@@ -174,6 +182,51 @@
 func (Head) sealed()     {}
 func (Wave) sealed()     {}
 
+// WithOut returns a copy that lists the instance, whose record has the given revision.
+func (l Ledger) WithOut(id string, revision int64) Ledger {
+	l = l.WithoutOut(id)
+	l.Out = append(l.Out, id)
+	slices.Sort(l.Out)
+	l.At[id] = revision
+	return l
+}
+
+// WithoutOut returns a copy that does not list the instance.
+func (l Ledger) WithoutOut(id string) Ledger {
+	at := make(map[string]int64, len(l.At)+1)
+	maps.Copy(at, l.At)
+	delete(at, id)
+	l.At = at
+	l.Out = slices.DeleteFunc(slices.Clone(l.Out), func(o string) bool { return o == id })
+	return l
+}
+
+// WithEpoch returns a copy written by the planner of the given epoch.
+func (l Ledger) WithEpoch(epoch uint64) Ledger {
+	l.Epoch = epoch
+	return l
+}
+
+// WithPhase returns a copy in the given phase since t.
+func (w Wave) WithPhase(p WavePhase, t time.Time) Wave {
+	w.Phase = p
+	w.Since = t
+	return w
+}
+
+// WithProgress returns a copy with the given progress.
+func (w Wave) WithProgress(p map[string]WaveProgress) Wave {
+	w.Progress = p
+	return w
+}
+
+// WithWave returns a copy that the wave maintains or maintained last, with the reason for its state.
+func (i Instance) WithWave(wave, reason string) Instance {
+	i.Wave = wave
+	i.Reason = reason
+	return i
+}
+
 // WithConfig returns a copy with the configuration version in force since t.
 func (m Member) WithConfig(version uint64, t time.Time) Member {
 	m.Config = version
