--- /dev/null
+++ b/internal/decision/entry/owner.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"fmt"
+	"maps"
+	"time"
+
+	"teaselloft/internal/decision/dispatch"
+	"teaselloft/internal/decision/forward"
+	"teaselloft/internal/decision/member"
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+)
+
+// won starts an epoch by reading the service's claims; the planner has none.
+func (t *step) won(w member.Won) {
+	t.emit(Notice{Event: "owner.won", Service: w.Service, Epoch: w.Epoch})
+	if w.Service == message.PlannerService {
+		return
+	}
+	t.starting = with(t.starting, w.Service, epoch{number: w.Epoch, shared: w.Shared})
+	t.clearing = without(t.clearing, w.Service)
+	t.emit(ReadClaim{Service: w.Service, Epoch: w.Epoch})
+}
+
+// claimRead starts the dispatch of a service that is still owned.
+func (t *step) claimRead(m Claimed) {
+	e, ok := t.starting[m.Service]
+	held, owned := t.member.Holds(m.Service, t.now)
+	if !ok || e.number != m.Epoch || !owned || held != m.Epoch {
+		return
+	}
+	if m.Err != nil {
+		t.starting = without(t.starting, m.Service)
+		t.emit(Notice{Event: "claim.unread", Service: m.Service, Epoch: m.Epoch, Detail: m.Err.Error()})
+		t.memberStep(member.Resign{Now: t.now, Service: m.Service, Epoch: m.Epoch})
+		return
+	}
+	t.starting = without(t.starting, m.Service)
+	t.dispatch = with(t.dispatch, m.Service, dispatch.New(m.Service, dispatch.Defaults()))
+	t.configureDispatch(m.Service)
+	t.dispatchStep(m.Service, dispatch.Start{
+		Now:      t.now,
+		Epoch:    m.Epoch,
+		Self:     t.self,
+		Members:  t.member.Members(),
+		Shared:   e.shared,
+		Claim:    m.Claim,
+		Revision: m.Revision,
+		Older:    m.Older,
+	})
+	t.dispatchStep(m.Service, dispatch.Prove{Now: t.now, Until: t.member.Until()})
+	t.goneMembers(m.Service)
+	// Requests that were asked before the claims were read got no answer but a denial.
+	if o, ok := t.member.Owner(m.Service); ok {
+		t.owned(o)
+	}
+}
+
+// lost ends an epoch; its grants in flight are watched until they have come back.
+func (t *step) lost(l member.Lost) {
+	t.emit(Notice{Event: "owner.lost", Service: l.Service, Epoch: l.Epoch})
+	t.starting = without(t.starting, l.Service)
+	d, ok := t.dispatch[l.Service]
+	if !ok {
+		return
+	}
+	t.clearing = with(t.clearing, l.Service, epoch{number: l.Epoch, grants: d.Grants()})
+	t.dispatchStep(l.Service, dispatch.Stop{Now: t.now})
+	t.dispatch = without(t.dispatch, l.Service)
+	t.updateClearing()
+}
+
+// owned tells the forwarding decision whom to ask.
+func (t *step) owned(o record.Owner) {
+	reachable := o.Entry != ""
+	if m, ok := t.member.Member(o.Entry); ok {
+		reachable = reachable && m.Incarnation == o.Incarnation
+	}
+	t.forwardStep(forward.Owner{Now: t.now, Owner: o, Reachable: reachable})
+}
+
+func (t *step) linked(l message.Linked) {
+	t.forwardStep(forward.Linked{Now: t.now, Entry: l.Entry, Up: l.Up})
+}
+
+// changed hands a change of the store to the decisions that it concerns.
+func (t *step) changed(c message.Changed) {
+	switch r := c.Record.(type) {
+	case record.Member:
+		t.memberStep(member.Changed{Now: t.now, Change: c})
+		t.memberChanged(r, c.Deleted)
+	case record.Owner:
+		t.memberStep(member.Changed{Now: t.now, Change: c})
+	case record.Instance:
+		t.instanceChanged(r, c.Deleted)
+	case record.Claim, record.Segment, record.Ledger, record.Head, record.Wave:
+	default:
+		panic(fmt.Sprintf("entry: unknown record %T", r))
+	}
+}
+
+// memberChanged tells the dispatch decisions who can be using a static share.
+func (t *step) memberChanged(m record.Member, deleted bool) {
+	for service := range t.dispatch {
+		t.dispatchStep(service, dispatch.Reachable{Now: t.now, Entry: m.Entry, Up: !deleted})
+		t.goneMembers(service)
+	}
+	for _, service := range t.fleet.Names() {
+		if o, ok := t.member.Owner(service); ok && o.Entry == m.Entry {
+			t.owned(o)
+		}
+	}
+}
+
+// goneMembers frees the static shares of members that neither the store nor the instance list shows.
+func (t *step) goneMembers(service string) {
+	o, _ := t.member.Owner(service)
+	for _, entry := range o.Members {
+		if _, live := t.member.Member(entry); live {
+			continue
+		}
+		if _, live := t.listed[entry]; !live && t.listed != nil {
+			t.dispatchStep(service, dispatch.Gone{Now: t.now, Entry: entry})
+		}
+	}
+}
+
+// updateClearing drops grants past their deadline and announces epochs without grants.
+func (t *step) updateClearing() {
+	for service, e := range t.clearing {
+		for id, deadline := range e.grants {
+			if !t.now.Before(deadline) {
+				e.grants = withoutGrant(e.grants, id)
+			}
+		}
+		t.clearing = with(t.clearing, service, e)
+		if len(e.grants) > 0 {
+			continue
+		}
+		t.clearing = without(t.clearing, service)
+		f := message.Cleared{Service: service, Epoch: e.number}
+		o, _ := t.member.Owner(service)
+		for _, entry := range o.Members {
+			t.frame(entry, f)
+		}
+	}
+}
+
+func withoutGrant(grants map[message.ID]time.Time, id message.ID) map[message.ID]time.Time {
+	c := maps.Clone(grants)
+	delete(c, id)
+	return c
+}
--- /dev/null
+++ b/internal/decision/entry/request.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"fmt"
+
+	"teaselloft/internal/decision/correct"
+	"teaselloft/internal/decision/dispatch"
+	"teaselloft/internal/decision/forward"
+	"teaselloft/internal/model/message"
+)
+
+// arrive corrects the name of a request and forwards it.
+func (t *step) arrive(r message.Request) {
+	if !t.configured() {
+		t.refuse(r, message.Refusal{
+			Reason:     message.ReasonNoConfig,
+			Detail:     "no configuration was received yet",
+			RetryAfter: staticDelay,
+		})
+		return
+	}
+	result := t.index.Lookup(correct.Query{Name: r.Name, Fleet: r.Fleet, Idempotent: r.Idempotent})
+	t.counts = t.counts.WithResult(r.Name, result)
+	correction := ""
+	switch c := result.(type) {
+	case correct.Exact:
+		r = r.WithService(c.Service)
+	case correct.Corrected:
+		r = r.WithService(c.Service)
+		correction = fmt.Sprintf("%s>%s (%s)", c.From, c.Service, c.Rule)
+	case correct.Ambiguous:
+		t.refuse(r, message.Refusal{
+			Reason:     message.ReasonAmbiguousName,
+			Detail:     fmt.Sprintf("service name %q is ambiguous", r.Name),
+			Candidates: c.Candidates,
+		})
+		return
+	case correct.Unknown:
+		t.refuse(r, message.Refusal{
+			Reason:     message.ReasonUnknownName,
+			Detail:     fmt.Sprintf("service %q does not exist", r.Name),
+			Candidates: c.Near,
+		})
+		return
+	default:
+		panic(fmt.Sprintf("entry: unknown result %T", c))
+	}
+	t.forwardStep(forward.Arrive{Now: t.now, Request: r, Correction: correction, Config: t.fleet.Version})
+}
+
+func (t *step) refuse(r message.Request, refusal message.Refusal) {
+	t.emit(Verdict{
+		ID:      r.ID,
+		Verdict: message.Refuse{Refusal: refusal, Config: t.fleet.Version},
+		Last:    true,
+	})
+}
+
+// receive hands a frame to the decision that it is for.
+func (t *step) receive(from string, f message.Frame) {
+	switch f := f.(type) {
+	case message.Ask:
+		t.asked(from, f)
+	case message.Release:
+		t.released(from, f)
+	case message.Withdraw:
+		t.dispatchStep(f.Service, dispatch.Withdraw{Now: t.now, ID: f.ID})
+	case message.Holding:
+		t.holding(from, f)
+	case message.Grant:
+		t.forwardStep(forward.Granted{Now: t.now, From: from, Grant: f})
+	case message.Deny:
+		t.forwardStep(forward.Denied{Now: t.now, Deny: f})
+	case message.Gather:
+		t.static = without(t.static, f.Service)
+		t.forwardStep(forward.Gathered{Now: t.now, From: from, Gather: f})
+	case message.Fetch:
+		t.forwardStep(forward.Fetched{Now: t.now, From: from, Fetch: f})
+	case message.Stored:
+		t.forwardStep(forward.Stored{Now: t.now, Stored: f})
+	case message.Cleared:
+		t.noteCleared(f)
+	case message.Inquire:
+		t.inquired(from, f)
+	case message.Report:
+		t.reports = with(t.reports, f.Service, report{at: t.now, loads: f.Loads})
+	default:
+		panic(fmt.Sprintf("entry: unknown frame %T", f))
+	}
+}
+
+// asked queues a request, or says that this entry instance does not own the service.
+func (t *step) asked(from string, f message.Ask) {
+	r := f.Request.WithDeadline(t.now.Add(f.Left))
+	if _, ok := t.dispatch[r.Service]; ok {
+		t.dispatchStep(r.Service, dispatch.Ask{Now: t.now, From: from, Request: r, Exclude: f.Exclude})
+		return
+	}
+	o, _ := t.member.Owner(r.Service)
+	t.frame(from, message.Deny{
+		ID:      r.ID,
+		Service: r.Service,
+		Epoch:   o.Epoch,
+		Refusal: message.Refusal{Reason: message.ReasonNoOwner},
+	})
+}
+
+func (t *step) released(from string, f message.Release) {
+	t.dispatchStep(f.Service, dispatch.Release{Now: t.now, From: from, Release: f})
+	e, ok := t.clearing[f.Service]
+	if !ok || e.number != f.Epoch {
+		return
+	}
+	e.grants = withoutGrant(e.grants, f.ID)
+	t.clearing = with(t.clearing, f.Service, e)
+	t.updateClearing()
+}
+
+func (t *step) holding(from string, f message.Holding) {
+	if epoch, ok := t.member.Holds(f.Service, t.now); !ok || epoch != f.Epoch {
+		return
+	}
+	t.dispatchStep(f.Service, dispatch.Holding{Now: t.now, From: from, Grants: f.Grants})
+}
+
+// inquired reports the grants in flight of a service that this entry instance owns and may grant.
+func (t *step) inquired(from string, f message.Inquire) {
+	if _, ok := t.member.Holds(f.Service, t.now); !ok {
+		return
+	}
+	if d, ok := t.dispatch[f.Service]; ok {
+		t.frame(from, message.Report{Service: f.Service, Loads: d.Loads()})
+	}
+}
--- /dev/null
+++ b/internal/decision/entry/state.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"maps"
+	"time"
+
+	"teaselloft/internal/decision/correct"
+	"teaselloft/internal/decision/dispatch"
+	"teaselloft/internal/decision/forward"
+	"teaselloft/internal/decision/member"
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+)
+
+const (
+	leaseMargin = 200 * time.Millisecond // for clock rates and scheduling, before a lease can expire
+	staticDelay = 3 * time.Second        // after the lease: by then an owner with the platform has seen it expire
+	drainLimit  = 30 * time.Second       // longest request deadline
+)
+
+// State is the immutable state of one entry instance.
+type State struct {
+	self      string
+	zone      string
+	fleet     fleet.Fleet
+	index     correct.Index
+	counts    correct.Counts
+	member    member.State
+	forward   forward.State
+	dispatch  map[string]dispatch.State  // by service that this entry instance owns
+	starting  map[string]epoch           // epochs that wait for their claim to be read
+	clearing  map[string]epoch           // ended epochs whose grants are still in flight
+	cleared   map[string]uint64          // epoch whose grants all came back, by service
+	static    map[string]bool            // services served from static shares
+	instances map[string]record.Instance // by identifier
+	reports   map[string]report          // in-flight requests of services by executor
+	listed    map[string]message.Listing // by identifier; nil before the first list
+}
+
+// epoch is what is remembered of an epoch outside its dispatch state.
+type epoch struct {
+	number uint64
+	shared []string
+	grants map[message.ID]time.Time // deadlines of grants in flight
+}
+
+// report is what a service's owner last said about its executors.
+type report struct {
+	at    time.Time
+	loads map[string]int
+}
+
+// reportLife is how long a report counts; a drained instance must be seen idle by a fresh one.
+const reportLife = 3 * time.Second
+
+// InFlight returns the requests in flight at an instance by the owner's latest report, or -1 when there is no fresh one.
+func (s State) InFlight(instance string, now time.Time) int {
+	for _, r := range s.reports {
+		if n, ok := r.loads[instance]; ok && now.Sub(r.at) < reportLife {
+			return n
+		}
+	}
+	return -1
+}
+
+// Settled says whether no write or ended epoch of this entry instance is outstanding.
+func (s State) Settled() bool {
+	return len(s.clearing) == 0 && len(s.starting) == 0 && s.member.Idle()
+}
+
+// New returns the state of the entry instance with the given name and availability zone.
+func New(self, zone string) State {
+	return State{
+		self:      self,
+		zone:      zone,
+		counts:    correct.NewCounts(),
+		member:    member.New(self),
+		forward:   forward.New(self),
+		dispatch:  map[string]dispatch.State{},
+		starting:  map[string]epoch{},
+		clearing:  map[string]epoch{},
+		cleared:   map[string]uint64{},
+		static:    map[string]bool{},
+		instances: map[string]record.Instance{},
+		reports:   map[string]report{},
+	}
+}
+
+// Fleet returns the configuration in force.
+func (s State) Fleet() fleet.Fleet { return s.fleet }
+
+// Counts returns the misspelled names.
+func (s State) Counts() correct.Counts { return s.counts }
+
+// Index returns the name index of the configuration in force.
+func (s State) Index() correct.Index { return s.index }
+
+// Member returns the ownership state.
+func (s State) Member() member.State { return s.member }
+
+// Forward returns the state of the requests that this entry instance took.
+func (s State) Forward() forward.State { return s.forward }
+
+// Dispatch returns the dispatch state of a service that this entry instance owns.
+func (s State) Dispatch(service string) (dispatch.State, bool) {
+	d, ok := s.dispatch[service]
+	return d, ok
+}
+
+// Owned returns the dispatch states by service.
+func (s State) Owned() map[string]dispatch.State { return maps.Clone(s.dispatch) }
+
+// Static says whether a service is served from static shares.
+func (s State) Static(service string) bool { return s.static[service] }
+
+// configured says whether a configuration was ever seen.
+func (s State) configured() bool { return s.fleet.Version > 0 }
+
+// services returns the names of all services, with the planner.
+func (s State) services() []string {
+	return append(s.fleet.Names(), message.PlannerService)
+}
+
+// executors returns the executors of a service; one that is not serving or that is leaving is not available.
+func (s State) executors(v fleet.Service) []dispatch.Candidate {
+	var candidates []dispatch.Candidate
+	for _, p := range s.fleet.Pools {
+		for _, i := range p.Instances {
+			r, known := s.instances[i.ID]
+			if known && r.Pool != v.Pool || !known && p.Name != v.Pool {
+				continue
+			}
+			candidates = append(candidates, dispatch.Candidate{
+				Executor:  message.Executor{ID: i.ID, Address: i.Address, Zone: i.Zone},
+				Available: s.available(i.ID, r, known),
+			})
+		}
+	}
+	return candidates
+}
+
+// available says whether an instance may get work; one that the list does not show yet or has lost may not.
+func (s State) available(id string, r record.Instance, known bool) bool {
+	if known && r.State != record.Serving {
+		return false
+	}
+	if s.listed == nil {
+		return true
+	}
+	l, ok := s.listed[id]
+	return ok && l.State == "live"
+}
+
+func with[V any](m map[string]V, key string, value V) map[string]V {
+	c := maps.Clone(m)
+	c[key] = value
+	return c
+}
+
+func without[V any](m map[string]V, key string) map[string]V {
+	if _, ok := m[key]; !ok {
+		return m
+	}
+	c := maps.Clone(m)
+	delete(c, key)
+	return c
+}
--- /dev/null
+++ b/internal/decision/entry/static.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"teaselloft/internal/decision/dispatch"
+	"teaselloft/internal/decision/forward"
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/message"
+)
+
+// noteCleared remembers that an epoch has no grants left.
+func (t *step) noteCleared(f message.Cleared) {
+	if f.Epoch <= t.cleared[f.Service] {
+		return
+	}
+	t.cleared = with(t.cleared, f.Service, f.Epoch)
+	t.updateStatic()
+}
+
+// staticAt returns when this entry instance may use its static share of a service, zero for never.
+//
+// By then its own lease has expired where every owner that still has the
+// platform has seen it, and the last epoch's grants have come back.
+func (s State) staticAt(service string) time.Time {
+	o, ok := s.member.Owner(service)
+	if !ok || !slices.Contains(o.Members, s.self) || s.member.Until().IsZero() {
+		return time.Time{}
+	}
+	at := s.member.Until().Add(staticDelay)
+	if s.cleared[service] < o.Epoch {
+		at = at.Add(drainLimit)
+	}
+	return at
+}
+
+func (s State) staticWakes() []time.Time {
+	var wakes []time.Time
+	for _, v := range s.fleet.Services {
+		if at := s.staticAt(v.Name); !at.IsZero() && !s.static[v.Name] {
+			wakes = append(wakes, at)
+		}
+	}
+	return wakes
+}
+
+// updateStatic starts or ends the use of static shares.
+func (t *step) updateStatic() {
+	for _, v := range t.fleet.Services {
+		at := t.staticAt(v.Name)
+		allowed := !at.IsZero() && !t.now.Before(at)
+		if allowed == t.static[v.Name] {
+			continue
+		}
+		t.setStatic(v, allowed)
+	}
+}
+
+func (t *step) setStatic(v fleet.Service, allowed bool) {
+	m := forward.Static{Now: t.now, Service: v.Name}
+	event := "static.end"
+	if allowed {
+		m.Slots = t.staticSlots(v)
+		event = "static.start"
+		t.static = with(t.static, v.Name, true)
+	} else {
+		t.static = without(t.static, v.Name)
+	}
+	t.emit(Notice{Event: event, Service: v.Name})
+	t.forwardStep(m)
+}
+
+// staticSlots returns this entry instance's part of the slots of the available executors.
+func (t *step) staticSlots(v fleet.Service) []forward.Slot {
+	o, _ := t.member.Owner(v.Name)
+	candidates := t.executors(v)
+	ids := make([]string, 0, len(candidates))
+	for _, c := range candidates {
+		ids = append(ids, c.Executor.ID)
+	}
+	counts := map[string]int{}
+	for _, share := range dispatch.StaticShare(ids, v.Slots, o.Members, t.self) {
+		counts[share.Executor]++
+	}
+	var slots []forward.Slot
+	for _, c := range candidates {
+		if c.Available && counts[c.Executor.ID] > 0 {
+			slots = append(slots, forward.Slot{Executor: c.Executor, Count: counts[c.Executor.ID]})
+		}
+	}
+	return slots
+}
--- /dev/null
+++ b/internal/decision/entry/step.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"teaselloft/internal/decision/dispatch"
+	"teaselloft/internal/decision/forward"
+	"teaselloft/internal/decision/member"
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+)
+
+// step is one run of Step: the state and the effects so far.
+//
+// The decisions inside an entry instance exchange frames through local, so that
+// a request to a service of its own costs no encoding.
+type step struct {
+	State
+	now     time.Time
+	effects []Effect
+	local   []message.Frame
+}
+
+// Step returns the state after a message and the effects to carry out in order.
+func Step(s State, m Message) (State, []Effect) {
+	t := &step{State: s}
+	switch m := m.(type) {
+	case Event:
+		t.now = m.Now
+		t.event(m.Event)
+	case Verified:
+		t.now = m.Now
+		t.memberStep(member.Verified{Now: m.Now, Service: m.Service, Epoch: m.Epoch, Alive: m.Alive})
+	case Claimed:
+		t.now = m.Now
+		t.claimRead(m)
+	case Written:
+		t.now = m.Now
+		t.written(m)
+	case Leave:
+		t.now = m.Now
+		t.memberStep(member.Leave{Now: m.Now})
+	case Wake:
+		t.now = m.Now
+		t.wake()
+	default:
+		panic(fmt.Sprintf("entry: unknown message %T", m))
+	}
+	for len(t.local) > 0 {
+		f := t.local[0]
+		t.local = t.local[1:]
+		t.receive(t.self, f)
+	}
+	return t.State, t.effects
+}
+
+// NextWake returns when Wake is due, zero for never.
+func (s State) NextWake(now time.Time) time.Time {
+	wake := s.member.NextWake()
+	sooner := func(t time.Time) {
+		if !t.IsZero() && (wake.IsZero() || t.Before(wake)) {
+			wake = t
+		}
+	}
+	sooner(s.forward.NextWake())
+	for _, d := range s.dispatch {
+		sooner(d.NextWake())
+	}
+	for _, e := range s.clearing {
+		for _, deadline := range e.grants {
+			sooner(deadline)
+		}
+	}
+	for _, t := range s.staticWakes() {
+		if t.After(now) {
+			sooner(t)
+		}
+	}
+	return wake
+}
+
+func (t *step) event(e message.Event) {
+	switch e := e.(type) {
+	case message.Arrive:
+		t.arrive(e.Request)
+	case message.Finish:
+		t.forwardStep(forward.Finished{Now: t.now, Finish: e})
+	case message.Abandon:
+		t.forwardStep(forward.Abandoned{Now: t.now, ID: e.ID})
+	case message.Received:
+		t.receive(e.From, e.Frame)
+	case message.Linked:
+		t.linked(e)
+	case message.Configured:
+		t.configure(e.Fleet)
+	case message.Changed:
+		t.changed(e)
+	case message.Listed:
+		t.list(e)
+	case message.Renewed:
+		t.memberStep(member.Renewed{Now: t.now, Until: e.Sent.Add(e.TTL - leaseMargin)})
+		t.updateStatic()
+	case message.Inspect:
+		t.inspect(e.Instance)
+	case message.Written:
+		// The routing duty answers writes by Written, which carries the write itself.
+	default:
+		panic(fmt.Sprintf("entry: unknown event %T", e))
+	}
+}
+
+func (t *step) wake() {
+	t.memberStep(member.Tick{Now: t.now})
+	t.forwardStep(forward.Tick{Now: t.now})
+	for service := range t.dispatch {
+		t.dispatchStep(service, dispatch.Tick{Now: t.now})
+	}
+	t.updateClearing()
+	t.updateStatic()
+}
+
+func (t *step) emit(e Effect) {
+	t.effects = append(t.effects, e)
+}
+
+// frame sends a frame to an entry instance, which may be this one.
+func (t *step) frame(to string, f message.Frame) {
+	if to == t.self {
+		t.local = append(t.local, f)
+		return
+	}
+	t.emit(Frame{To: to, Frame: f})
+}
+
+func (t *step) forwardStep(m forward.Message) {
+	var effects []forward.Effect
+	t.forward, effects = forward.Step(t.forward, m)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case forward.Verdict:
+			t.emit(Verdict(e))
+		case forward.Frame:
+			t.frame(e.To, e.Frame)
+		default:
+			panic(fmt.Sprintf("entry: unknown effect %T", e))
+		}
+	}
+}
+
+func (t *step) dispatchStep(service string, m dispatch.Message) {
+	d, ok := t.dispatch[service]
+	if !ok {
+		return
+	}
+	d, effects := dispatch.Step(d, m)
+	t.dispatch = with(t.dispatch, service, d)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case dispatch.Reply:
+			t.frame(e.To, e.Frame)
+		case dispatch.Write:
+			t.emit(Write(e))
+		case dispatch.Resign:
+			t.memberStep(member.Resign{Now: t.now, Service: service, Epoch: e.Epoch})
+		default:
+			panic(fmt.Sprintf("entry: unknown effect %T", e))
+		}
+	}
+}
+
+func (t *step) memberStep(m member.Message) {
+	var effects []member.Effect
+	t.member, effects = member.Step(t.member, m)
+	for _, e := range effects {
+		t.memberEffect(e)
+	}
+}
+
+func (t *step) memberEffect(e member.Effect) {
+	switch e := e.(type) {
+	case member.Verify:
+		t.emit(Verify(e))
+	case member.Write:
+		t.emit(Write{Record: e.Owner, Expected: e.Expected, Epoch: e.Owner.Epoch})
+	case member.Won:
+		t.won(e)
+	case member.Lost:
+		t.lost(e)
+	case member.Proved:
+		for service := range t.dispatch {
+			t.dispatchStep(service, dispatch.Prove{Now: t.now, Until: e.Until})
+		}
+	case member.Owned:
+		t.owned(e.Owner)
+	default:
+		panic(fmt.Sprintf("entry: unknown effect %T", e))
+	}
+}
+
+// written hands the end of a write to the decision that asked for it.
+func (t *step) written(m Written) {
+	switch r := m.Write.Record.(type) {
+	case record.Owner:
+		t.memberStep(member.Written{Now: t.now, Service: r.Service, Entry: r.Entry, Epoch: r.Epoch, Err: m.Err})
+	case record.Claim:
+		t.claimWritten(r.Service, m)
+	case record.Segment:
+		t.claimWritten(r.Service, m)
+	case record.Member, record.Instance, record.Ledger, record.Head, record.Wave:
+		panic(fmt.Sprintf("entry: %T is not written here", r))
+	}
+}
+
+func (t *step) claimWritten(service string, m Written) {
+	w := dispatch.Written{
+		Now:      t.now,
+		Epoch:    m.Write.Epoch,
+		Sequence: m.Write.Sequence,
+		Revision: m.Revision,
+		Err:      m.Err,
+	}
+	if found, ok := m.Found.(record.Claim); ok {
+		w.Found = found
+		w.Revision = m.FoundRev
+	}
+	t.dispatchStep(service, w)
+}
--- a/internal/decision/forward/message.go
+++ b/internal/decision/forward/message.go
@@ -93,6 +93,9 @@
 	Count    int
 }
 
+// Tick lets time pass.
+type Tick struct{ Now time.Time }
+
 func (Arrive) message()    {}
 func (Granted) message()   {}
 func (Denied) message()    {}
@@ -104,6 +107,7 @@
 func (Fetched) message()   {}
 func (Stored) message()    {}
 func (Static) message()    {}
+func (Tick) message()      {}
 
 // Effect is an output of Step.
 //
--- a/internal/decision/forward/owner.go
+++ b/internal/decision/forward/owner.go
@@ -7,6 +7,9 @@
 	"teaselloft/internal/model/message"
 )
 
+// linkRetry is the pause before an owner that could not be reached or was not ready is asked again.
+const linkRetry = 100 * time.Millisecond
+
 // ownerChanged asks the new owner for every request that has no grant yet.
 func (s State) ownerChanged(m Owner) (State, []Effect) {
 	service := m.Owner.Service
@@ -28,6 +31,10 @@
 			continue
 		}
 		t.reachable = m.Up
+		t.retry = time.Time{}
+		if !m.Up {
+			t.retry = m.Now.Add(linkRetry)
+		}
 		s.owners = with(s.owners, service, t)
 		var more []Effect
 		s, more = s.askAgain(service, m.Now, func(request) bool { return true })
@@ -39,6 +46,34 @@
 	return s.giveUpFetches(m.Entry, effects)
 }
 
+// tick asks the owners behind broken links again, which makes the link dial.
+func (s State) tick(m Tick) (State, []Effect) {
+	var effects []Effect
+	for service, t := range s.owners {
+		if t.retry.IsZero() || m.Now.Before(t.retry) {
+			continue
+		}
+		t.reachable = true
+		t.retry = time.Time{}
+		s.owners = with(s.owners, service, t)
+		var more []Effect
+		s, more = s.askAgain(service, m.Now, func(q request) bool { return q.phase == waiting })
+		effects = append(effects, more...)
+	}
+	return s, effects
+}
+
+// NextWake returns when Tick is due, zero for never.
+func (s State) NextWake() time.Time {
+	var wake time.Time
+	for _, t := range s.owners {
+		if !t.retry.IsZero() && (wake.IsZero() || t.retry.Before(wake)) {
+			wake = t.retry
+		}
+	}
+	return wake
+}
+
 // askAgain asks for the requests of a service that have no grant and that match.
 func (s State) askAgain(service string, now time.Time, match func(request) bool) (State, []Effect) {
 	var effects []Effect
--- a/internal/decision/forward/state.go
+++ b/internal/decision/forward/state.go
@@ -28,6 +28,7 @@
 type target struct {
 	owner     record.Owner
 	reachable bool
+	retry     time.Time // when an owner behind a broken link is asked again, zero for never
 }
 
 // phase is how far a request has come.
--- a/internal/decision/forward/step.go
+++ b/internal/decision/forward/step.go
@@ -44,6 +44,8 @@
 		return s.stored(m)
 	case Static:
 		return s.staticChanged(m)
+	case Tick:
+		return s.tick(m)
 	default:
 		panic(fmt.Sprintf("forward: unknown message %T", m))
 	}
@@ -173,7 +175,7 @@
 	}
 	switch m.Deny.Refusal.Reason {
 	case message.ReasonNoOwner:
-		s = s.withUnreachable(q.request.Service, m.Deny.Epoch)
+		s = s.withUnreachable(q.request.Service, m.Deny.Epoch, m.Now)
 		return s.ask(q, m.Now)
 	case message.ReasonDuplicate:
 		if m.Deny.Holder == "" || m.Deny.Holder == s.self {
@@ -190,13 +192,14 @@
 	}
 }
 
-// withUnreachable stops asking the owner of an epoch that has ended.
-func (s State) withUnreachable(service string, epoch uint64) State {
+// withUnreachable pauses asking an owner whose epoch has ended or not yet begun.
+func (s State) withUnreachable(service string, epoch uint64, now time.Time) State {
 	t, ok := s.owners[service]
 	if !ok || t.owner.Epoch > epoch {
 		return s
 	}
 	t.reachable = false
+	t.retry = now.Add(linkRetry)
 	s.owners = with(s.owners, service, t)
 	return s
 }
--- a/internal/decision/member/state.go
+++ b/internal/decision/member/state.go
@@ -99,6 +99,11 @@
 	return slices.Sorted(maps.Keys(s.members))
 }
 
+// Idle says whether no takeover or hand-over is in progress.
+func (s State) Idle() bool {
+	return len(s.attempts) == 0
+}
+
 // Held returns the current epochs by service.
 func (s State) Held() map[string]uint64 {
 	return maps.Clone(s.held)
--- /dev/null
+++ b/internal/link/route/plugin.go
@@ -0,0 +1,50 @@
+package route
+
+import (
+	"context"
+
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/core/ring"
+	"teaselloft/internal/decision/entry"
+	"teaselloft/internal/model/message"
+)
+
+// storeWorkers bounds the store calls in flight; each service has at most two at a time.
+const storeWorkers = 8
+
+// controlPort carries what must not be refused: changes from the platform and the ends of store calls.
+var controlPort = kernel.Port[entry.Message]{Name: "control", Capacity: 4096, Policy: ring.Block}
+
+// storePort carries calls for the store workers.
+var storePort = kernel.Port[entry.Effect]{Name: "store", Capacity: 1024, Policy: ring.Refuse}
+
+// Settings of the plug-in; there are none yet.
+type Settings struct{}
+
+func init() {
+	kernel.Register("route", Settings{}, build)
+}
+
+func build(h *kernel.Host, _ Settings) ([]kernel.Duty, error) {
+	d := newDuty(h)
+	subscribe(h, d, message.ConfiguredTopic, func(c message.Configured) message.Event { return c })
+	subscribe(h, d, message.ChangedTopic, func(c message.Changed) message.Event { return c })
+	subscribe(h, d, message.ListedTopic, func(l message.Listed) message.Event { return l })
+	subscribe(h, d, message.RenewedTopic, func(r message.Renewed) message.Event { return r })
+	h.OnStop(kernel.PhaseReady, d.leave)
+	h.OnStop(kernel.PhaseDrain, d.awaitHandover)
+	h.Dump("route", func() any { return d.dump() })
+	provide(h, d)
+	duties := []kernel.Duty{{Name: "route", Run: d.run}}
+	for range storeWorkers {
+		duties = append(duties, kernel.Duty{Name: "store", Run: newWorker(h, d.control).run})
+	}
+	return duties, nil
+}
+
+// subscribe pushes each value of a topic to the control ring.
+func subscribe[T any](h *kernel.Host, d *duty, t kernel.Topic[T], event func(T) message.Event) {
+	kernel.Subscribe(h, t, func(ctx context.Context, v T) error {
+		return d.control.Push(ctx, entry.Event{Now: d.clock(), Event: event(v)})
+	})
+}
--- a/internal/model/message/event.go
+++ b/internal/model/message/event.go
@@ -86,6 +86,12 @@
 	Err      error // nil, ErrConflict or ErrUnavailable
 }
 
+// Inspect asks for a fresh report of the requests in flight at an instance.
+type Inspect struct {
+	Instance string
+}
+
+func (Inspect) event()    {}
 func (Arrive) event()     {}
 func (Finish) event()     {}
 func (Abandon) event()    {}
--- a/internal/model/message/frame.go
+++ b/internal/model/message/frame.go
@@ -88,6 +88,19 @@
 	Answer Answer
 }
 
+// Inquire asks the owner of a service how many requests are in flight on each executor.
+type Inquire struct {
+	Service string
+}
+
+// Report answers Inquire.
+type Report struct {
+	Service string
+	Loads   map[string]int // by executor
+}
+
+func (Inquire) frame()  {}
+func (Report) frame()   {}
 func (Ask) frame()      {}
 func (Grant) frame()    {}
 func (Deny) frame()     {}
