Add the platform link with its stand-in

The entry instances need leases, watches, compare-and-swap writes and the instance list. The client speaks a subset of etcd's JSON gateway; the decisions on lost answers, missed changes and leases are pure functions. message.Store gains raw reads and writes, message.Identity tells the member record, and message.Renewed names the incarnation it proves, so that a new lease cannot prove the ownership of an incarnation that lost its lease.

--- /dev/null
+++ b/internal/link/platform/identity.go
@@ -0,0 +1,23 @@
+package platform
+
+import (
+	"sync/atomic"
+
+	"teaselloft/internal/model/record"
+)
+
+// identity shows the member record to every goroutine; only the member duty replaces it.
+type identity struct {
+	member atomic.Pointer[record.Member]
+}
+
+func newIdentity(m record.Member) *identity {
+	i := &identity{}
+	i.member.Store(&m)
+	return i
+}
+
+// Self returns the member record.
+func (i *identity) Self() record.Member {
+	return *i.member.Load()
+}
--- /dev/null
+++ b/internal/link/platform/plugin.go
@@ -0,0 +1,102 @@
+package platform
+
+import (
+	"crypto/rand"
+	"fmt"
+	"time"
+
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+	"teaselloft/internal/protocol/etcd"
+	"teaselloft/internal/protocol/instances"
+)
+
+// Defaults of the settings, in ms.
+const (
+	DefaultTimeout = 1000
+	DefaultResolve = 3000
+	DefaultTTL     = 2000
+	DefaultRenew   = 500
+	DefaultPoll    = 1000
+)
+
+// writers is the number of write duties; one write whose answer was lost holds up none of the others.
+const writers = 4
+
+// Settings are the plug-in's settings section.
+type Settings struct {
+	Addresses []string `json:"addresses"` // base addresses of the key-value store
+	Instances []string `json:"instances"` // base addresses of the instance list, the same by default
+	Entry     string   `json:"entry"`     // IP address and port for other entry instances
+	Operator  string   `json:"operator"`  // IP address and port for operators
+	Timeout   int      `json:"timeout"`   // ms of a call
+	Resolve   int      `json:"resolve"`   // ms in which the end of a write must be known
+	TTL       int      `json:"ttl"`       // ms of the lease
+	Renew     int      `json:"renew"`     // ms between keep-alives
+	Poll      int      `json:"poll"`      // ms between reads of the instance list
+}
+
+func init() {
+	defaults := Settings{
+		Timeout: DefaultTimeout,
+		Resolve: DefaultResolve,
+		TTL:     DefaultTTL,
+		Renew:   DefaultRenew,
+		Poll:    DefaultPoll,
+	}
+	kernel.Register("platform", defaults, build)
+}
+
+func build(h *kernel.Host, s Settings) ([]kernel.Duty, error) {
+	client, err := etcd.New(s.Addresses, ms(s.Timeout))
+	if err != nil {
+		return nil, fmt.Errorf("addresses of the key-value store: %w", err)
+	}
+	if len(s.Instances) == 0 {
+		s.Instances = s.Addresses
+	}
+	list, err := instances.New(s.Instances)
+	if err != nil {
+		return nil, fmt.Errorf("addresses of the instance list: %w", err)
+	}
+	store := &Store{client: client, site: h.Settings.Site, resolve: ms(s.Resolve), log: h.Log, counters: newCounters(h.Metrics)}
+	self := newIdentity(record.Member{
+		Entry:       h.Settings.Name,
+		Incarnation: rand.Text(),
+		Zone:        h.Settings.Zone,
+		Address:     s.Entry,
+		Operator:    s.Operator,
+	})
+	kernel.Provide[message.Store](h, store)
+	kernel.Provide[message.Identity](h, self)
+	lease := newLeaseDuty(h, store, self, s)
+	follow := newWatchDuty(h, store)
+	duties := []kernel.Duty{
+		{Name: "platform.lease", Run: lease.run},
+		{Name: "platform.member", Run: newMemberDuty(h, store, self).run},
+		{Name: "platform.watch", Run: follow.run},
+		{Name: "platform.list", Run: newListDuty(h, list, ms(s.Poll)).run},
+	}
+	for i := range writers {
+		name := fmt.Sprintf("platform.write.%d", i)
+		duties = append(duties, kernel.Duty{Name: name, Run: newWriteDuty(h, store).run})
+	}
+	h.OnStop(kernel.PhaseRelease, lease.stop)
+	h.Dump("platform", func() any {
+		return dump{Self: self.Self(), Lease: store.lease.Load(), Revision: follow.revision.Load(), Keys: follow.keys.Load()}
+	})
+	return duties, nil
+}
+
+// dump is the plug-in's section of the state dump.
+type dump struct {
+	Self     record.Member `json:"self"`
+	Lease    int64         `json:"lease"`
+	Revision int64         `json:"revision"` // up to which every change was published
+	Keys     int64         `json:"keys"`
+}
+
+func ms(n int) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/internal/link/platform/watch.go
@@ -0,0 +1,167 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/decision/follow"
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+	"teaselloft/internal/protocol/etcd"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// watchDuty publishes every change of the site's records.
+type watchDuty struct {
+	host   *kernel.Host
+	store  *Store
+	log    *slog.Logger
+	state  follow.State
+	pauses *backoff.ExponentialBackOff
+
+	revision atomic.Int64 // of the state, for the dump
+	keys     atomic.Int64 // of the state, for the dump
+}
+
+func newWatchDuty(h *kernel.Host, store *Store) *watchDuty {
+	return &watchDuty{
+		host:   h,
+		store:  store,
+		log:    h.Log,
+		state:  follow.New(record.KeyHead),
+		pauses: newBackoff(),
+	}
+}
+
+// run carries out one effect after the other until ctx ends.
+func (d *watchDuty) run(ctx context.Context) error {
+	queue := d.step(follow.Begin{})
+	for len(queue) > 0 {
+		m, err := d.do(ctx, queue[0])
+		if err != nil {
+			return err
+		}
+		queue = queue[1:]
+		if m != nil {
+			queue = append(d.step(m), queue...)
+		}
+	}
+	return errors.New("watch has nothing left to do")
+}
+
+func (d *watchDuty) step(m follow.Message) []follow.Effect {
+	state, effects := follow.Step(d.state, m)
+	d.state = state
+	d.revision.Store(state.Revision())
+	d.keys.Store(int64(state.Keys()))
+	return effects
+}
+
+// do carries out an effect and returns the message that it gives, or nil.
+func (d *watchDuty) do(ctx context.Context, e follow.Effect) (follow.Message, error) {
+	switch e := e.(type) {
+	case follow.List:
+		return d.list(ctx), ctx.Err()
+	case follow.Get:
+		return d.get(ctx, e.Key), ctx.Err()
+	case follow.Watch:
+		return d.watch(ctx, e.Start), ctx.Err()
+	case follow.Pause:
+		return nil, sleep(ctx, d.pauses.NextBackOff())
+	case follow.Publish:
+		return nil, d.publish(ctx, e.Change)
+	default:
+		panic(fmt.Sprintf("platform: unknown effect %T", e))
+	}
+}
+
+// list reads the records only: the values of old configurations grow without bound and are read on demand.
+func (d *watchDuty) list(ctx context.Context) follow.Message {
+	d.store.counters.reread.Inc(1)
+	var listed follow.Listed
+	for i, prefix := range prefixes() {
+		pairs, revision, err := d.store.client.Prefix(ctx, d.store.full(prefix))
+		if err != nil {
+			d.log.Debug("read failed", "event", "platform.unlisted", "error", err)
+			d.store.counters.failed.Inc(1)
+			return follow.Unlisted{}
+		}
+		if i == 0 {
+			listed.Revision = revision
+		}
+		for _, p := range pairs {
+			listed.Keys = append(listed.Keys, d.change(p, false))
+		}
+	}
+	return listed
+}
+
+// get reads one key; a failure is no loss, since the watch that follows brings the change too.
+func (d *watchDuty) get(ctx context.Context, key string) follow.Message {
+	p, ok, err := d.store.client.Get(ctx, d.store.full(key))
+	if err != nil || !ok {
+		return nil
+	}
+	return follow.Got{Change: d.change(p, false)}
+}
+
+func (d *watchDuty) change(p etcd.KeyValue, deleted bool) follow.Change {
+	return follow.Change{Key: d.store.local(p.Key), Value: p.Value, Revision: p.Modified, Deleted: deleted}
+}
+
+// watch publishes changes until the stream ends.
+func (d *watchDuty) watch(ctx context.Context, start int64) follow.Message {
+	err := d.store.client.Watch(ctx, d.store.full(""), start, func(revision int64, events []etcd.Event) error {
+		d.pauses.Reset()
+		changed := follow.Changed{Revision: revision}
+		for _, e := range events {
+			changed.Changes = append(changed.Changes, d.change(e.Pair, e.Type == etcd.EventDelete))
+		}
+		for _, e := range d.step(changed) {
+			if _, err := d.do(ctx, e); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	d.store.counters.broken.Inc(1)
+	d.log.Debug("watch ended", "event", "platform.unwatched", "error", err)
+	if errors.Is(err, etcd.ErrCompacted) {
+		return follow.Compacted{}
+	}
+	return follow.Broken{}
+}
+
+// publish repeats a change that a subscriber had no room for, so a subscriber may see it more than once.
+func (d *watchDuty) publish(ctx context.Context, c follow.Change) error {
+	r, err := decodeChange(c)
+	if err != nil {
+		d.store.skip(err)
+		return nil
+	}
+	m := message.Changed{Record: r, Revision: c.Revision, Deleted: c.Deleted}
+	pauses := newBackoff()
+	for {
+		err := kernel.Publish(ctx, d.host, message.ChangedTopic, m)
+		if err == nil {
+			d.store.counters.published.Inc(1)
+			return nil
+		}
+		d.log.Warn("change not delivered", "event", "platform.undelivered", "key", c.Key, "error", err)
+		if err := sleep(ctx, pauses.NextBackOff()); err != nil {
+			return err
+		}
+	}
+}
+
+func decodeChange(c follow.Change) (record.Record, error) {
+	if c.Deleted {
+		return deleted(c.Key)
+	}
+	return decode(c.Key, c.Value)
+}
--- a/internal/model/message/event.go
+++ b/internal/model/message/event.go
@@ -75,8 +75,9 @@
 
 // Renewed reports an answered keep-alive of the entry's lease.
 type Renewed struct {
-	Sent time.Time     // when the keep-alive was sent
-	TTL  time.Duration // granted
+	Incarnation string        // that the lease belongs to
+	Sent        time.Time     // when the keep-alive was sent
+	TTL         time.Duration // granted
 }
 
 // Written reports the end of a write that the routing duty asked for.
--- a/internal/model/message/port.go
+++ b/internal/model/message/port.go
@@ -70,4 +70,14 @@
 	Read(ctx context.Context, key string) (record.Record, int64, error)
 	// List returns the records below a prefix.
 	List(ctx context.Context, prefix string) ([]Changed, error)
+	// ReadRaw returns the undecoded value of a key and its revision; it wraps ErrNotFound or ErrUnavailable.
+	ReadRaw(ctx context.Context, key string) (value []byte, revision int64, err error)
+	// WriteRaw creates a key that nobody else writes; it wraps ErrConflict if the key has another value.
+	WriteRaw(ctx context.Context, key string, value []byte) error
+}
+
+// Identity tells how this entry instance is registered; the platform link provides it.
+type Identity interface {
+	// Self returns the member record; its incarnation changes when the lease was lost.
+	Self() record.Member
 }
--- /dev/null
+++ b/internal/protocol/etcd/kv.go
@@ -0,0 +1,91 @@
+package etcd
+
+import (
+	"context"
+	"fmt"
+)
+
+// pageSize bounds the keys of one page, so that an answer of small values stays far below a second of transfer.
+const pageSize = 500
+
+// PrefixEnd returns the end of the range of all keys with the prefix.
+func PrefixEnd(prefix string) string {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return string(end[:i+1])
+		}
+	}
+	return "\x00" // every key
+}
+
+// Get returns the pair of a key and whether there is one.
+func (c *Client) Get(ctx context.Context, key string) (KeyValue, bool, error) {
+	var response RangeResponse
+	if err := c.call(ctx, PathRange, false, RangeRequest{Key: []byte(key)}, &response); err != nil {
+		return KeyValue{}, false, fmt.Errorf("get key %q: %w", key, err)
+	}
+	if len(response.Pairs) == 0 {
+		return KeyValue{}, false, nil
+	}
+	return response.Pairs[0], true, nil
+}
+
+// Prefix returns every pair below a prefix and the store's revision at the first page.
+//
+// Later pages may be newer, so a watch from the revision can repeat changes that the pairs already contain.
+func (c *Client) Prefix(ctx context.Context, prefix string) ([]KeyValue, int64, error) {
+	request := RangeRequest{Key: []byte(prefix), End: []byte(PrefixEnd(prefix)), Limit: pageSize}
+	var pairs []KeyValue
+	var revision int64
+	for {
+		var response RangeResponse
+		if err := c.call(ctx, PathRange, false, request, &response); err != nil {
+			return nil, 0, fmt.Errorf("read prefix %q: %w", prefix, err)
+		}
+		if revision == 0 {
+			revision = response.Header.Revision
+		}
+		pairs = append(pairs, response.Pairs...)
+		if !response.More || len(response.Pairs) == 0 {
+			return pairs, revision, nil
+		}
+		last := response.Pairs[len(response.Pairs)-1].Key
+		request.Key = append(append([]byte{}, last...), 0)
+	}
+}
+
+// Put writes a key if it has the expected revision, 0 for a missing key; it returns the new revision and whether it wrote.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expected, lease int64) (int64, bool, error) {
+	if len(value) > MaxValue {
+		return 0, false, fmt.Errorf("put key %q: %w: value has %d bytes, more than %d", key, ErrInvalid, len(value), MaxValue)
+	}
+	put := &PutRequest{Key: []byte(key), Value: value, Lease: lease}
+	revision, done, err := c.swap(ctx, key, expected, Operation{Put: put})
+	if err != nil {
+		return 0, false, fmt.Errorf("put key %q: %w", key, err)
+	}
+	return revision, done, nil
+}
+
+// Delete deletes a key if it has the expected revision; it returns the store's revision and whether it deleted.
+func (c *Client) Delete(ctx context.Context, key string, expected int64) (int64, bool, error) {
+	revision, done, err := c.swap(ctx, key, expected, Operation{Delete: &DeleteRequest{Key: []byte(key)}})
+	if err != nil {
+		return 0, false, fmt.Errorf("delete key %q: %w", key, err)
+	}
+	return revision, done, nil
+}
+
+func (c *Client) swap(ctx context.Context, key string, expected int64, do Operation) (int64, bool, error) {
+	request := TxnRequest{
+		Compare: []Compare{{Target: TargetMod, Result: ResultEqual, Key: []byte(key), Modified: expected}},
+		Success: []Operation{do},
+	}
+	var response TxnResponse
+	if err := c.call(ctx, PathTxn, true, request, &response); err != nil {
+		return 0, false, err
+	}
+	return response.Header.Revision, response.Succeeded, nil
+}
--- /dev/null
+++ b/internal/protocol/instances/client.go
@@ -0,0 +1,110 @@
+package instances
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"teaselloft/internal/model/message"
+
+	"github.com/dghubble/sling"
+)
+
+// Path of the instance list.
+const Path = "/v1/instances"
+
+// Default timeout of a call and size of the list that is read at most.
+const (
+	DefaultTimeout = 2 * time.Second
+	maxList        = 4 << 20
+)
+
+// ErrUnavailable means that the list could not be read or written.
+var ErrUnavailable = errors.New("instance list is unavailable")
+
+// Heartbeat is the body of a registration.
+type Heartbeat struct {
+	TTL       int               `json:"ttl"` // ms until the instances drop off the list
+	Instances []message.Listing `json:"instances"`
+}
+
+// Client calls the instance list at one of several addresses and moves to the next after a failure; one goroutine uses it.
+type Client struct {
+	addresses []string
+	current   int
+	http      *http.Client
+}
+
+// New returns a client for base addresses such as "http://127.0.0.1:2379".
+func New(addresses []string) (*Client, error) {
+	if len(addresses) == 0 {
+		return nil, fmt.Errorf("%w: no address", ErrUnavailable)
+	}
+	return &Client{
+		addresses: addresses,
+		http:      &http.Client{Timeout: DefaultTimeout, Transport: &http.Transport{}},
+	}, nil
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// List returns the list and its tag, or changed false when the list still has the given tag.
+func (c *Client) List(ctx context.Context, tag string) (list []message.Listing, next string, changed bool, err error) {
+	request, err := c.sling().Get(Path).Set("If-None-Match", tag).Request()
+	if err != nil {
+		return nil, "", false, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	response, err := c.do(ctx, request)
+	if err != nil {
+		return nil, "", false, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusNotModified:
+		return nil, tag, false, nil
+	case http.StatusOK:
+		body := http.MaxBytesReader(nil, response.Body, maxList)
+		if err := json.NewDecoder(body).Decode(&list); err != nil {
+			return nil, "", false, fmt.Errorf("%w: decode list: %w", ErrUnavailable, err)
+		}
+		return list, response.Header.Get("ETag"), true, nil
+	default:
+		return nil, "", false, fmt.Errorf("%w: status %d", ErrUnavailable, response.StatusCode)
+	}
+}
+
+// Beat registers or renews instances.
+func (c *Client) Beat(ctx context.Context, h Heartbeat) error {
+	request, err := c.sling().Post(Path).BodyJSON(h).Request()
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	response, err := c.do(ctx, request)
+	if err != nil {
+		return err
+	}
+	_ = response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%w: status %d", ErrUnavailable, response.StatusCode)
+	}
+	return nil
+}
+
+func (c *Client) sling() *sling.Sling {
+	return sling.New().Base(c.addresses[c.current])
+}
+
+func (c *Client) do(ctx context.Context, request *http.Request) (*http.Response, error) {
+	response, err := c.http.Do(request.WithContext(ctx))
+	if err != nil {
+		c.current = (c.current + 1) % len(c.addresses)
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return response, nil
+}
--- /dev/null
+++ b/internal/protocol/instances/doc.go
@@ -0,0 +1,2 @@
+// Package instances holds the wire types and a client of the platform's instance list.
+package instances
--- /dev/null
+++ b/internal/standin/platform/serve.go
@@ -0,0 +1,133 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"teaselloft/internal/core/ring"
+	"teaselloft/internal/protocol/etcd"
+	"teaselloft/internal/protocol/instances"
+	"teaselloft/internal/standin/keyvalue"
+)
+
+// maxBody leaves room for a value of 1 MB in base64 with its key.
+const maxBody = 2 << 20
+
+// server decodes HTTP requests into calls of the store duty and encodes the answers.
+type server struct {
+	listener *countingListener
+	calls    *ring.Ring[call]
+	progress time.Duration
+	nonce    string // tells the list versions of this process from those of another
+	log      *slog.Logger
+	watches  atomic.Uint64
+}
+
+func (s *server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+etcd.PathRange, serveCall(s, KindRange, decodeRange))
+	mux.HandleFunc("POST "+etcd.PathTxn, serveCall(s, KindTxn, decodeTxn))
+	mux.HandleFunc("POST "+etcd.PathGrant, serveCall(s, KindGrant, decodeGrant))
+	mux.HandleFunc("POST "+etcd.PathKeepAlive, serveCall(s, KindKeepAlive, decodeKeepAlive))
+	mux.HandleFunc("POST "+etcd.PathRevoke, serveCall(s, KindRevoke, decodeRevoke))
+	mux.HandleFunc("POST "+etcd.PathWatch, s.serveWatch)
+	mux.HandleFunc("GET "+instances.Path, s.serveList)
+	mux.HandleFunc("POST "+instances.Path, s.serveHeartbeat)
+	mux.HandleFunc("POST /control", s.serveControl)
+	mux.HandleFunc("GET /counters", s.serveCounters)
+	return mux
+}
+
+// serveCall answers one kind of call.
+func serveCall[Q any](s *server, k Kind, decode func(Q) (keyvalue.Message, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		serve, ok := s.admit(w, r, k)
+		if !ok {
+			return
+		}
+		var request Q
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&request); err != nil {
+			fail(w, decodeFailure(err))
+			return
+		}
+		time.Sleep(serve.Delay) // not ended by the caller's leaving: a late write still takes effect
+		m, err := decode(request)
+		if err != nil {
+			fail(w, etcd.Failure{Code: etcd.CodeInvalid, Message: err.Error()})
+			return
+		}
+		effect, err := ask(context.WithoutCancel(r.Context()), s, func(reply *ring.Ring[keyvalue.Effect]) call {
+			return apply{message: m, reply: reply}
+		})
+		if err != nil || serve.Lose {
+			panic(http.ErrAbortHandler)
+		}
+		encode(w, k, effect)
+	}
+}
+
+// ask pushes a call and waits for its answer.
+func ask[T any](ctx context.Context, s *server, c func(reply *ring.Ring[T]) call) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, readHeaderTimeout)
+	defer cancel()
+	reply := ring.Reply[T]()
+	if err := s.calls.Push(ctx, c(reply)); err != nil {
+		var zero T
+		return zero, err
+	}
+	return reply.Pull(ctx)
+}
+
+// admit lets a call through or answers it; during an outage it closes the connection.
+func (s *server) admit(w http.ResponseWriter, r *http.Request, k Kind) (Serve, bool) {
+	verdict, err := ask(r.Context(), s, func(reply *ring.Ring[Verdict]) call {
+		return admit{kind: k, reply: reply}
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	switch v := verdict.(type) {
+	case Serve:
+		return v, true
+	case Limit:
+		fail(w, etcd.Failure{Code: etcd.CodeExhausted, Message: "too many requests"})
+		return Serve{}, false
+	case Drop:
+		panic(http.ErrAbortHandler)
+	default:
+		panic(fmt.Sprintf("platform stand-in: unknown verdict %T", v))
+	}
+}
+
+func decodeFailure(err error) etcd.Failure {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return etcd.Failure{Code: etcd.CodeInvalid, Message: string(keyvalue.ReasonTooLarge)}
+	}
+	return etcd.Failure{Code: etcd.CodeInvalid, Message: err.Error()}
+}
+
+// fail answers with the status that the gateway gives a code.
+func fail(w http.ResponseWriter, f etcd.Failure) {
+	status := http.StatusBadRequest
+	switch f.Code {
+	case etcd.CodeExhausted:
+		status = http.StatusTooManyRequests
+	case etcd.CodeNotFound:
+		status = http.StatusNotFound
+	}
+	write(w, status, f)
+}
+
+func write(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller sees a truncated answer if this fails.
+	_ = json.NewEncoder(w).Encode(body)
+}
