--- a/internal/decision/dispatch/commit.go
+++ b/internal/decision/dispatch/commit.go
@@ -31,10 +31,12 @@
 // unsent reports whether a claimed request that is asked again has certainly not been sent.
 //
 // Its entry instance reported its grants in this epoch without it and refuses
-// older ones from then on, so it asks because it has not sent the request.
+// older ones from then on, so it asks because it has not sent the request. While
+// grants wait for its report the request may queue: a report that lists it takes it out.
 func (s State) unsent(t ticket, c claim) bool {
 	m, known := s.member(t.from)
-	return !c.ended && known && m.answered
+	awaited := s.phase == gathering && m.needed
+	return !c.ended && known && (m.answered || awaited)
 }
 
 // admitClaimed queues a ticket whose claim is in the store.
--- a/internal/decision/dispatch/epoch.go
+++ b/internal/decision/dispatch/epoch.go
@@ -125,7 +125,7 @@
 	listed := make(map[message.ID]bool, len(m.Grants))
 	for _, h := range m.Grants {
 		listed[h.ID] = true
-		s = s.hold(m.From, h)
+		s = s.hold(h)
 	}
 	if !known || from.answered {
 		return s, nil
@@ -141,7 +141,10 @@
 }
 
 // hold counts a grant in flight; the request is answered by it if it was asked again.
-func (s State) hold(from string, h message.Held) State {
+//
+// It is released by the entry instance that took the request, which need not be
+// the one that reported it.
+func (s State) hold(h message.Held) State {
 	if _, ok := s.grants.byID.Get(h.ID); ok {
 		return s
 	}
@@ -152,7 +155,7 @@
 	g := grant{
 		sequence: s.sequence,
 		id:       h.ID,
-		from:     from,
+		from:     h.ID.Entry,
 		target:   message.Executor{ID: h.Executor},
 		deadline: s.now.Add(h.Left),
 	}
--- /dev/null
+++ b/internal/decision/entry/backup.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"time"
+
+	"teaselloft/internal/decision/forward"
+	"teaselloft/internal/model/message"
+)
+
+// backup is a grant of another owner to a request of its own.
+//
+// The grants of a dead owner's own requests are known to nobody else, and their
+// executors still run them: without the copy the next owner would use the slots twice.
+type backup struct {
+	service  string
+	epoch    uint64
+	grant    message.Held
+	deadline time.Time
+}
+
+// backUp copies a grant to the deputy if this entry instance gave it to itself.
+func (t *step) backUp(g message.Grant) {
+	h, service, owner, ok := t.forward.Granted(g.ID, t.now)
+	if !ok || owner != t.self {
+		return
+	}
+	if to := t.deputy(service); to != "" {
+		t.frame(to, message.Backup{Service: service, Epoch: g.Epoch, Grant: h})
+	}
+}
+
+// forget tells the deputy that a grant comes back.
+func (t *step) forget(id message.ID) {
+	_, service, owner, ok := t.forward.Granted(id, t.now)
+	if !ok || owner != t.self {
+		return
+	}
+	if to := t.deputy(service); to != "" {
+		t.frame(to, message.Forget{Service: service, ID: id})
+	}
+}
+
+// deputy returns the live member after this entry instance in the service's owner record, empty for none.
+func (s State) deputy(service string) string {
+	o, _ := s.member.Owner(service)
+	first := ""
+	for _, entry := range o.Members {
+		if _, live := s.member.Member(entry); !live || entry == s.self {
+			continue
+		}
+		if entry > s.self {
+			return entry
+		}
+		if first == "" {
+			first = entry
+		}
+	}
+	return first
+}
+
+// keepBackup remembers a copied grant and drops those past their deadline.
+func (t *step) keepBackup(b message.Backup) {
+	kept := make(map[message.ID]backup, len(t.backups)+1)
+	for id, old := range t.backups {
+		if t.now.Before(old.deadline) {
+			kept[id] = old
+		}
+	}
+	kept[b.Grant.ID] = backup{service: b.Service, epoch: b.Epoch, grant: b.Grant, deadline: t.now.Add(b.Grant.Left)}
+	t.backups = kept
+}
+
+// gathered reports the grants in flight to a new owner, with the copied grants of earlier owners.
+func (t *step) gathered(from string, g message.Gather) {
+	t.static = without(t.static, g.Service)
+	t.forwardStep(forward.Gathered{Now: t.now, From: from, Gather: g, Others: t.copies(g)})
+}
+
+func (t *step) copies(g message.Gather) []message.Held {
+	var grants []message.Held
+	for _, b := range t.backups {
+		if b.service == g.Service && b.epoch < g.Epoch && t.now.Before(b.deadline) {
+			h := b.grant
+			h.Left = b.deadline.Sub(t.now)
+			grants = append(grants, h)
+		}
+	}
+	return grants
+}
--- a/internal/decision/entry/owner.go
+++ b/internal/decision/entry/owner.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"time"
 
 	"teaselloft/internal/decision/dispatch"
 	"teaselloft/internal/decision/forward"
@@ -131,7 +129,7 @@
 	for service, e := range t.clearing {
 		for id, deadline := range e.grants {
 			if !t.now.Before(deadline) {
-				e.grants = withoutGrant(e.grants, id)
+				e.grants = without(e.grants, id)
 			}
 		}
 		t.clearing = with(t.clearing, service, e)
@@ -147,8 +145,3 @@
 	}
 }
 
-func withoutGrant(grants map[message.ID]time.Time, id message.ID) map[message.ID]time.Time {
-	c := maps.Clone(grants)
-	delete(c, id)
-	return c
-}
--- a/internal/decision/entry/request.go
+++ b/internal/decision/entry/request.go
@@ -69,17 +69,21 @@
 		t.holding(from, f)
 	case message.Grant:
 		t.forwardStep(forward.Granted{Now: t.now, From: from, Grant: f})
+		t.backUp(f)
 	case message.Deny:
 		t.forwardStep(forward.Denied{Now: t.now, Deny: f})
 	case message.Gather:
-		t.static = without(t.static, f.Service)
-		t.forwardStep(forward.Gathered{Now: t.now, From: from, Gather: f})
+		t.gathered(from, f)
 	case message.Fetch:
 		t.forwardStep(forward.Fetched{Now: t.now, From: from, Fetch: f})
 	case message.Stored:
 		t.forwardStep(forward.Stored{Now: t.now, Stored: f})
 	case message.Cleared:
 		t.noteCleared(f)
+	case message.Backup:
+		t.keepBackup(f)
+	case message.Forget:
+		t.backups = without(t.backups, f.ID)
 	case message.Inquire:
 		t.inquired(from, f)
 	case message.Report:
@@ -111,7 +115,7 @@
 	if !ok || e.number != f.Epoch {
 		return
 	}
-	e.grants = withoutGrant(e.grants, f.ID)
+	e.grants = without(e.grants, f.ID)
 	t.clearing = with(t.clearing, f.Service, e)
 	t.updateClearing()
 }
--- a/internal/decision/entry/state.go
+++ b/internal/decision/entry/state.go
@@ -34,6 +34,7 @@
 	cleared   map[string]uint64          // epoch whose grants all came back, by service
 	static    map[string]bool            // services served from static shares
 	instances map[string]record.Instance // by identifier
+	backups   map[message.ID]backup      // grants that owners gave to requests of their own
 	reports   map[string]report          // in-flight requests of services by executor
 	listed    map[string]message.Listing // by identifier; nil before the first list
 }
@@ -84,6 +85,7 @@
 		static:    map[string]bool{},
 		instances: map[string]record.Instance{},
 		reports:   map[string]report{},
+		backups:   map[message.ID]backup{},
 	}
 }
 
@@ -152,13 +154,13 @@
 	return ok && l.State == "live"
 }
 
-func with[V any](m map[string]V, key string, value V) map[string]V {
+func with[K comparable, V any](m map[K]V, key K, value V) map[K]V {
 	c := maps.Clone(m)
 	c[key] = value
 	return c
 }
 
-func without[V any](m map[string]V, key string) map[string]V {
+func without[K comparable, V any](m map[K]V, key K) map[K]V {
 	if _, ok := m[key]; !ok {
 		return m
 	}
--- a/internal/decision/entry/static.go
+++ b/internal/decision/entry/static.go
@@ -28,6 +28,9 @@
 	if !ok || !slices.Contains(o.Members, s.self) || s.member.Until().IsZero() {
 		return time.Time{}
 	}
+	if s.forward.Floor(service) != o.Epoch {
+		return time.Time{} // not known to the owner of the latest epoch
+	}
 	at := s.member.Until().Add(staticDelay)
 	if s.cleared[service] < o.Epoch {
 		at = at.Add(drainLimit)
--- a/internal/decision/entry/step.go
+++ b/internal/decision/entry/step.go
@@ -56,7 +56,7 @@
 }
 
 // NextWake returns when Wake is due, zero for never.
-func (s State) NextWake(now time.Time) time.Time {
+func (s State) NextWake() time.Time {
 	wake := s.member.NextWake()
 	sooner := func(t time.Time) {
 		if !t.IsZero() && (wake.IsZero() || t.Before(wake)) {
@@ -73,9 +73,7 @@
 		}
 	}
 	for _, t := range s.staticWakes() {
-		if t.After(now) {
-			sooner(t)
-		}
+		sooner(t)
 	}
 	return wake
 }
@@ -85,8 +83,10 @@
 	case message.Arrive:
 		t.arrive(e.Request)
 	case message.Finish:
+		t.forget(e.ID)
 		t.forwardStep(forward.Finished{Now: t.now, Finish: e})
 	case message.Abandon:
+		t.forget(e.ID)
 		t.forwardStep(forward.Abandoned{Now: t.now, ID: e.ID})
 	case message.Received:
 		t.receive(e.From, e.Frame)
--- a/internal/decision/forward/message.go
+++ b/internal/decision/forward/message.go
@@ -64,6 +64,7 @@
 	Now    time.Time
 	From   string
 	Gather message.Gather
+	Others []message.Held // grants that earlier owners gave to requests of their own
 }
 
 // Fetched brings another entry instance's request for a stored answer.
--- a/internal/decision/forward/owner.go
+++ b/internal/decision/forward/owner.go
@@ -113,7 +113,7 @@
 	return s, []Effect{Frame{To: m.From, Frame: message.Holding{
 		Service: g.Service,
 		Epoch:   g.Epoch,
-		Grants:  s.held(g.Service, m.Now),
+		Grants:  append(s.held(g.Service, m.Now), m.Others...),
 	}}}
 }
 
--- a/internal/decision/forward/state.go
+++ b/internal/decision/forward/state.go
@@ -69,6 +69,11 @@
 	}
 }
 
+// Floor returns the latest epoch of a service whose owner gathered this entry instance's grants.
+func (s State) Floor(service string) uint64 {
+	return s.floors[service]
+}
+
 // Len returns the number of requests between arrival and last verdict.
 func (s State) Len() int {
 	return s.requests.Len()
@@ -161,14 +166,30 @@
 func (s State) held(service string, now time.Time) []message.Held {
 	var grants []message.Held
 	for _, q := range s.ofService(service) {
-		if q.phase != granted {
-			continue
-		}
-		h := message.Held{ID: q.request.ID, Executor: q.executor, Left: q.request.Deadline.Sub(now)}
-		if !q.request.Idempotent {
-			h.Key = q.request.Key
+		if q.phase == granted {
+			grants = append(grants, q.held(now))
 		}
-		grants = append(grants, h)
 	}
 	return grants
 }
+
+func (q request) held(now time.Time) message.Held {
+	h := message.Held{ID: q.request.ID, Executor: q.executor, Left: q.request.Deadline.Sub(now)}
+	if !q.request.Idempotent {
+		h.Key = q.request.Key
+	}
+	return h
+}
+
+// Granted returns the grant in flight of a request, its service and the owner that gave it, empty for a static share.
+func (s State) Granted(id message.ID, now time.Time) (h message.Held, service, owner string, ok bool) {
+	q, ok := s.request(id)
+	if !ok || q.phase != granted {
+		return message.Held{}, "", "", false
+	}
+	owner = q.asked
+	if q.static {
+		owner = ""
+	}
+	return q.held(now), q.request.Service, owner, true
+}
--- a/internal/decision/member/state.go
+++ b/internal/decision/member/state.go
@@ -18,6 +18,10 @@
 // retryAfter is the pause before a failed takeover is tried again.
 const retryAfter = 200 * time.Millisecond
 
+// joinTime is how long the members must not have changed before the owners' records name them;
+// together they restart after a rolling replacement only once.
+const joinTime = 2 * time.Second
+
 // settleTime is how long the preferred owner must be a member before a service is handed over to it.
 const settleTime = 10 * time.Second
 
@@ -29,6 +33,7 @@
 	leaving  bool
 	services []string // sorted
 	members  map[string]seen
+	joined   time.Time // when a member last came or went
 	owners   map[string]owned
 	held     map[string]uint64 // epoch by service, for current epochs
 	attempts map[string]attempt
@@ -114,6 +119,8 @@
 	since := s.now
 	if old, ok := s.members[m.Entry]; ok && old.member.Incarnation == m.Incarnation {
 		since = old.since
+	} else {
+		s.joined = s.now
 	}
 	s.members = with(s.members, m.Entry, seen{member: m, since: since})
 	return s
@@ -121,6 +128,7 @@
 
 // WithoutMember returns a copy without the member.
 func (s State) WithoutMember(entry string) State {
+	s.joined = s.now
 	s.members = without(s.members, entry)
 	return s
 }
--- a/internal/decision/member/step.go
+++ b/internal/decision/member/step.go
@@ -51,6 +51,9 @@
 		sooner(a.retry)
 	}
 	for service := range s.held {
+		if s.outdated(service) {
+			sooner(s.joined.Add(joinTime))
+		}
 		if m, ok := s.members[s.preferred(service)]; ok && m.member.Entry != s.self {
 			sooner(m.since.Add(settleTime))
 		}
@@ -212,7 +215,7 @@
 	}
 	s = s.withoutAttempt(service)
 	if epoch, ok := s.held[service]; ok {
-		return s.handOver(service, epoch)
+		return s.review(service, epoch)
 	}
 	if s.leaving || s.preferred(service) != s.self {
 		return s, nil
@@ -236,14 +239,28 @@
 	}}
 }
 
-// handOver gives a held service up when leaving, or when its preferred owner has been a member for a while.
-func (s State) handOver(service string, epoch uint64) (State, []Effect) {
+// review gives a held service up when leaving or when its preferred owner has been a member for a while,
+// and begins a new epoch when the record names other members than there are.
+func (s State) review(service string, epoch uint64) (State, []Effect) {
 	to := s.preferred(service)
 	settled := to != "" && to != s.self && s.now.Sub(s.members[to].since) >= settleTime
-	if !s.leaving && !settled {
-		return s, nil
+	switch {
+	case s.leaving || settled:
+		return s.end(service, epoch, "")
+	case s.outdated(service) && s.now.Sub(s.joined) >= joinTime:
+		return s.end(service, epoch, s.self)
 	}
+	return s, nil
+}
+
+// outdated says whether a service's owner record names other members than there are.
+func (s State) outdated(service string) bool {
+	return !slices.Equal(s.owners[service].owner.Members, s.Members())
+}
+
+// end ends an epoch and writes the record of the next one.
+func (s State) end(service string, epoch uint64, next string) (State, []Effect) {
 	s = s.WithoutHeld(service)
-	s, effects := s.write(service, epoch+1, "")
+	s, effects := s.write(service, epoch+1, next)
 	return s, append([]Effect{Lost{Service: service, Epoch: epoch}}, effects...)
 }
--- a/internal/link/route/duty.go
+++ b/internal/link/route/duty.go
@@ -73,7 +73,7 @@
 // arm sets the timer to the decision's next deadline.
 func (d *duty) arm(timer *time.Timer) {
 	now := d.clock()
-	wake := d.state.NextWake(now)
+	wake := d.state.NextWake()
 	if wake.IsZero() {
 		timer.Reset(time.Hour)
 		return
--- a/internal/model/message/frame.go
+++ b/internal/model/message/frame.go
@@ -88,6 +88,20 @@
 	Answer Answer
 }
 
+// Backup tells another member of a grant that an owner gave to a request of its own,
+// so that the next owner learns of it when this one dies or is paused.
+type Backup struct {
+	Service string
+	Epoch   uint64
+	Grant   Held
+}
+
+// Forget says that the grant of a Backup came back.
+type Forget struct {
+	Service string
+	ID      ID
+}
+
 // Inquire asks the owner of a service how many requests are in flight on each executor.
 type Inquire struct {
 	Service string
@@ -111,3 +125,6 @@
 func (Cleared) frame()  {}
 func (Fetch) frame()    {}
 func (Stored) frame()   {}
+
+func (Backup) frame() {}
+func (Forget) frame() {}
