Add the endpoint stand-in

Tests of the entry instances need executors that count executions per idempotency key, oversubscription and connections, and that fail, freeze, reboot and leave on request. A refusing executor closes its listener, so that a caller sees a refused connection rather than one closed after a write.

--- a/internal/link/platform/list.go
+++ b/internal/link/platform/list.go
@@ -25,6 +25,7 @@
 
 // run reads the list at every interval until ctx ends; failures do not shorten the interval.
 func (d *listDuty) run(ctx context.Context) error {
+	defer d.client.Close()
 	var tag string
 	for {
 		tag = d.read(ctx, tag)
--- a/internal/link/platform/watch.go
+++ b/internal/link/platform/watch.go
@@ -40,6 +40,7 @@
 
 // run carries out one effect after the other until ctx ends.
 func (d *watchDuty) run(ctx context.Context) error {
+	defer d.store.Close()
 	queue := d.step(follow.Begin{})
 	for len(queue) > 0 {
 		m, err := d.do(ctx, queue[0])
--- /dev/null
+++ b/internal/standin/endpoint/answer.go
@@ -0,0 +1,126 @@
+package endpoint
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"teaselloft/internal/core/ring"
+	"teaselloft/internal/standin/executor"
+)
+
+// Headers of a request.
+const (
+	// HeaderRun sets the run time of one request, such as "20ms".
+	HeaderRun = "Standin-Run"
+	headerKey = "Idempotency-Key"
+)
+
+const maxBody = 2 << 20
+
+// Answer is the body of an answer; it lets a caller check that the answer belongs to its request.
+type Answer struct {
+	Service  string `json:"service"`
+	Executor string `json:"executor"`
+	Method   string `json:"method"`
+	Path     string `json:"path"`
+	Hash     string `json:"hash"` // SHA-256 of the request's body, in hexadecimal digits
+	Key      string `json:"key"`  // Idempotency-Key
+}
+
+// answer runs one request; a caller that leaves does not end it.
+func (x *runner) answer(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		panic(http.ErrAbortHandler) // the request never was complete, so it does not run
+	}
+	arrive := executor.Arrive{ID: x.ids.Add(1), Key: r.Header.Get(headerKey)}
+	if text := r.Header.Get(HeaderRun); text != "" {
+		if arrive.Run, err = time.ParseDuration(text); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		arrive.Set = true
+	}
+	hash := sha256.Sum256(body)
+	x.shape(w, x.execute(ctx, arrive), Answer{
+		Service:  x.service,
+		Executor: x.place.ID,
+		Method:   r.Method,
+		Path:     r.URL.RequestURI(),
+		Hash:     hex.EncodeToString(hash[:]),
+		Key:      arrive.Key,
+	})
+}
+
+// execute runs a request for its run time and returns the form of its answer.
+func (x *runner) execute(ctx context.Context, arrive executor.Arrive) executor.Shape {
+	for m := executor.Message(arrive); ; m = (executor.Finish{ID: arrive.ID}) {
+		e, err := x.about(ctx, arrive.ID, m)
+		if err != nil {
+			return executor.Nothing
+		}
+		switch e := e.(type) {
+		case executor.Start:
+			if !pause(ctx, e.Run) {
+				return executor.Nothing
+			}
+		case executor.Reply:
+			return e.Shape
+		case executor.Reject, executor.Listen, executor.Refuse:
+			panic(fmt.Sprintf("endpoint stand-in: effect %T answers no request", e))
+		default:
+			panic(fmt.Sprintf("endpoint stand-in: unknown effect %T", e))
+		}
+	}
+}
+
+// about asks the duty for a step about one request; it fails when the process ends.
+func (x *runner) about(ctx context.Context, id uint64, m executor.Message) (executor.Effect, error) {
+	return ask(ctx, x, func(reply *ring.Ring[executor.Effect]) call {
+		return request{id: id, message: m, reply: reply}
+	})
+}
+
+// pause waits for d and returns false when the process ends before.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// shape writes an answer in a form.
+func (x *runner) shape(w http.ResponseWriter, s executor.Shape, a Answer) {
+	body, err := json.Marshal(a)
+	if err != nil {
+		panic(fmt.Sprintf("endpoint stand-in: encode answer: %v", err))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	switch s {
+	case executor.Whole:
+		_, _ = w.Write(body) // the caller may have left
+	case executor.Failure:
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write(body)
+	case executor.Half:
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case executor.Nothing:
+		panic(http.ErrAbortHandler)
+	default:
+		panic(fmt.Sprintf("endpoint stand-in: unknown shape %d", s))
+	}
+}
--- /dev/null
+++ b/internal/standin/endpoint/beat.go
@@ -0,0 +1,48 @@
+package endpoint
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"teaselloft/internal/core/ring"
+	"teaselloft/internal/protocol/instances"
+)
+
+// beatDuty keeps the executors on the instance list.
+type beatDuty struct {
+	settings  Settings
+	client    *instances.Client
+	executors []*runner
+	wakes     *ring.Ring[struct{}]
+	log       *slog.Logger
+}
+
+// run sends a heartbeat at every interval, and at once when an executor's state was changed, until ctx ends.
+func (b *beatDuty) run(ctx context.Context) error {
+	defer b.client.Close()
+	ticker := time.NewTicker(ms(b.settings.Beat))
+	defer ticker.Stop()
+	for {
+		b.beat(ctx)
+		select {
+		case <-ticker.C:
+		case <-b.wakes.Items():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// beat registers the executors that do not reboot; the others drop off the list by themselves.
+func (b *beatDuty) beat(ctx context.Context) {
+	h := instances.Heartbeat{TTL: b.settings.TTL}
+	for _, x := range b.executors {
+		if l, ok := x.listing(ctx); ok {
+			h.Instances = append(h.Instances, l)
+		}
+	}
+	if err := b.client.Beat(ctx, h); err != nil {
+		b.log.Warn("heartbeat failed", "event", "beat.failed", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/endpoint/executor.go
@@ -0,0 +1,183 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/core/ring"
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/standin/executor"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// call is what other goroutines ask of an executor's duty.
+//
+//sumtype:decl
+type call interface{ call() }
+
+// step asks for a step without an answer.
+type step struct{ message executor.Message }
+
+// request asks for a step about one request, whose effect goes to reply.
+type request struct {
+	id      uint64
+	message executor.Message
+	reply   *ring.Ring[executor.Effect]
+}
+
+// connect asks whether a new connection may stay.
+type connect struct{ reply *ring.Ring[bool] }
+
+// look asks for the state.
+type look struct{ reply *ring.Ring[executor.State] }
+
+// drain asks to end the listener and to finish the requests in flight.
+type drain struct {
+	ctx   context.Context // bounds the wait
+	reply *ring.Ring[error]
+}
+
+func (step) call()    {}
+func (request) call() {}
+func (connect) call() {}
+func (look) call()    {}
+func (drain) call()   {}
+
+// callCapacity leaves room for every connection of an executor to wait in its ring.
+const callCapacity = 256
+
+// runner is the duty of one executor; it owns the state and the listener.
+type runner struct {
+	place   Executor
+	service string
+	address string
+	log     *slog.Logger
+	calls   *ring.Ring[call]
+	ids     atomic.Uint64
+
+	state    executor.State
+	replies  map[uint64]*ring.Ring[executor.Effect]
+	listener net.Listener
+	server   *http.Server
+	serving  sync.WaitGroup // goroutines that serve or close
+}
+
+func newExecutor(h *kernel.Host, s Settings, e Executor) (*runner, error) {
+	l, err := listen(e.Listen)
+	if err != nil {
+		return nil, err
+	}
+	return &runner{
+		place:    e,
+		service:  s.Service,
+		address:  l.Addr().String(),
+		log:      h.Log.With("executor", e.ID),
+		calls:    ring.New[call]("executor", callCapacity, ring.Block, metrics.NewRegistry()),
+		state:    executor.New(s.Slots, s.Connections, ms(s.Run)),
+		replies:  map[uint64]*ring.Ring[executor.Effect]{},
+		listener: l,
+	}, nil
+}
+
+// run serves calls, and ends freezes and reboots, until ctx ends.
+func (x *runner) run(ctx context.Context) error {
+	x.log.Info("executor listens", "event", "listen", "address", x.address)
+	x.server = x.newServer(ctx)
+	x.open(x.listener)
+	defer x.close()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case c := <-x.calls.Items():
+			x.serve(ctx, c)
+		case now := <-timer.C:
+			x.step(ctx, executor.Tick{Now: now})
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if wake, ok := x.state.Wake(); ok {
+			timer.Reset(time.Until(wake))
+		}
+	}
+}
+
+func (x *runner) serve(ctx context.Context, c call) {
+	switch c := c.(type) {
+	case step:
+		x.step(ctx, c.message)
+	case request:
+		x.replies[c.id] = c.reply
+		x.step(ctx, c.message)
+	case connect:
+		_ = c.reply.Push(ctx, !x.step(ctx, executor.Connect{}))
+	case look:
+		_ = c.reply.Push(ctx, x.state)
+	case drain:
+		x.drain(c)
+	default:
+		panic(fmt.Sprintf("endpoint stand-in: unknown call %T", c))
+	}
+}
+
+// step applies a message, carries out its effects and says whether a connection was rejected.
+func (x *runner) step(ctx context.Context, m executor.Message) (rejected bool) {
+	state, effects := executor.Step(x.state, m)
+	x.state = state
+	for _, e := range effects {
+		switch e := e.(type) {
+		case executor.Start:
+			x.reply(ctx, e.ID, e)
+		case executor.Reply:
+			x.reply(ctx, e.ID, e)
+		case executor.Reject:
+			rejected = true
+		case executor.Listen:
+			x.listen(ctx)
+		case executor.Refuse:
+			x.refuse(ctx, e.Cut)
+		default:
+			panic(fmt.Sprintf("endpoint stand-in: unknown effect %T", e))
+		}
+	}
+	return rejected
+}
+
+// reply fills the ring of a request's current question.
+func (x *runner) reply(ctx context.Context, id uint64, e executor.Effect) {
+	if reply, ok := x.replies[id]; ok {
+		delete(x.replies, id)
+		_ = reply.Push(ctx, e) // a ring of one item that is filled once
+	}
+}
+
+// listing returns the line of the instance list, or false while the executor reboots.
+func (x *runner) listing(ctx context.Context) (message.Listing, bool) {
+	s, err := ask(ctx, x, func(reply *ring.Ring[executor.State]) call { return look{reply: reply} })
+	if err != nil || s.Down() {
+		return message.Listing{}, false
+	}
+	state := "live"
+	if s.Leaving() {
+		state = "leaving"
+	}
+	return x.place.listing(x.service, x.address, state), true
+}
+
+// ask pushes a call and waits for its answer.
+func ask[T any](ctx context.Context, x *runner, c func(reply *ring.Ring[T]) call) (T, error) {
+	reply := ring.Reply[T]()
+	if err := x.calls.Push(ctx, c(reply)); err != nil {
+		var zero T
+		return zero, err
+	}
+	return reply.Pull(ctx)
+}
--- /dev/null
+++ b/internal/standin/executor/state.go
@@ -0,0 +1,114 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/benbjohnson/immutable"
+)
+
+// State is one executor; the zero State is not usable.
+type State struct {
+	slots       int
+	connections int
+	run         time.Duration
+	mode        Mode
+	leaving     bool
+	frozen      time.Time // end of a freeze
+	down        time.Time // end of a reboot
+	held        *immutable.List[Message]
+	running     *immutable.SortedMap[uint64, struct{}]
+	executions  *immutable.SortedMap[string, int]
+	counters    Counters
+}
+
+// Counters is what an executor counted.
+type Counters struct {
+	Executions  int `json:"executions"`  // requests started
+	Running     int `json:"running"`     // now
+	Highest     int `json:"highest"`     // most requests running at once
+	Held        int `json:"held"`        // starts and answers that wait for the end of a freeze
+	Over        int `json:"over"`        // requests started while all slots were in use
+	Connections int `json:"connections"` // open now
+	Most        int `json:"most"`        // most connections open at once, with rejected ones
+	Rejected    int `json:"rejected"`    // connections beyond the limit
+}
+
+// New returns an idle executor.
+func New(slots, connections int, run time.Duration) State {
+	return State{
+		slots:       slots,
+		connections: connections,
+		run:         run,
+		mode:        ModeNone,
+		held:        immutable.NewList[Message](),
+		running:     immutable.NewSortedMap[uint64, struct{}](nil),
+		executions:  immutable.NewSortedMap[string, int](nil),
+	}
+}
+
+// Counters returns what was counted so far.
+func (s State) Counters() Counters {
+	c := s.counters
+	c.Held = s.held.Len()
+	return c
+}
+
+// Leaving says whether the executor is marked as leaving.
+func (s State) Leaving() bool { return s.leaving }
+
+// Down says whether the executor reboots.
+func (s State) Down() bool { return !s.down.IsZero() }
+
+// Executions returns the number of executions by idempotency key, of keys with at least the given number.
+func (s State) Executions(least int) map[string]int {
+	found := map[string]int{}
+	for itr := s.executions.Iterator(); !itr.Done(); {
+		key, n, _ := itr.Next()
+		if n >= least {
+			found[key] = n
+		}
+	}
+	return found
+}
+
+// Wake returns the time of the next Tick that changes something, and whether there is one.
+func (s State) Wake() (time.Time, bool) {
+	switch {
+	case s.frozen.IsZero():
+		return s.down, !s.down.IsZero()
+	case s.down.IsZero() || s.frozen.Before(s.down):
+		return s.frozen, true
+	default:
+		return s.down, true
+	}
+}
+
+// WithStart returns a copy in which a request runs.
+func (s State) WithStart(id uint64, key string) State {
+	if s.running.Len() >= s.slots {
+		s.counters.Over++
+	}
+	n, _ := s.executions.Get(key)
+	s.executions = s.executions.Set(key, n+1)
+	s.counters.Executions++
+	return s.withRunning(s.running.Set(id, struct{}{}))
+}
+
+// WithFinish returns a copy in which a request does not run any more.
+func (s State) WithFinish(id uint64) State {
+	return s.withRunning(s.running.Delete(id))
+}
+
+func (s State) withRunning(running *immutable.SortedMap[uint64, struct{}]) State {
+	s.running = running
+	s.counters.Running = running.Len()
+	s.counters.Highest = max(s.counters.Highest, running.Len())
+	return s
+}
+
+// WithConnections returns a copy with the given number of open connections.
+func (s State) WithConnections(n int) State {
+	s.counters.Connections = n
+	s.counters.Most = max(s.counters.Most, n)
+	return s
+}
--- /dev/null
+++ b/internal/standin/executor/step.go
@@ -0,0 +1,156 @@
+package executor
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+)
+
+// Step applies one message.
+func Step(s State, m Message) (State, []Effect) {
+	switch m := m.(type) {
+	case Arrive:
+		return s.arrive(m)
+	case Finish:
+		return s.finish(m)
+	case Connect:
+		return s.connect()
+	case Disconnect:
+		return s.WithConnections(s.counters.Connections - 1), nil
+	case SetRun:
+		s.run = m.Run
+		return s, nil
+	case SetLeaving:
+		s.leaving = m.Leaving
+		return s, nil
+	case SetMode:
+		return s.setMode(m.Mode)
+	case Freeze:
+		s.frozen = m.Now.Add(m.For)
+		return s, nil
+	case Reboot:
+		return s.reboot(m)
+	case Tick:
+		return s.tick(m.Now)
+	default:
+		panic(fmt.Sprintf("executor: unknown message %T", m))
+	}
+}
+
+func (s State) arrive(m Arrive) (State, []Effect) {
+	if !s.frozen.IsZero() {
+		s.held = s.held.Append(m)
+		return s, nil
+	}
+	run := s.run
+	if m.Set {
+		run = m.Run
+	}
+	return s.WithStart(m.ID, m.Key), []Effect{Start{ID: m.ID, Run: run}}
+}
+
+func (s State) finish(m Finish) (State, []Effect) {
+	if _, ok := s.running.Get(m.ID); !ok {
+		return s, []Effect{Reply{ID: m.ID, Shape: Nothing}} // a reboot ended it
+	}
+	if !s.frozen.IsZero() {
+		s.held = s.held.Append(m)
+		return s, nil
+	}
+	return s.WithFinish(m.ID), []Effect{Reply{ID: m.ID, Shape: s.mode.shape()}}
+}
+
+func (m Mode) shape() Shape {
+	switch m {
+	case ModeClose:
+		return Nothing
+	case ModeHalf:
+		return Half
+	case ModeError:
+		return Failure
+	default:
+		return Whole
+	}
+}
+
+func (s State) connect() (State, []Effect) {
+	s = s.WithConnections(s.counters.Connections + 1)
+	if s.counters.Connections <= s.connections {
+		return s, nil
+	}
+	s.counters.Rejected++
+	return s, []Effect{Reject{}}
+}
+
+func (s State) setMode(m Mode) (State, []Effect) {
+	before := s.refuses()
+	s.mode = m
+	return s, s.listening(before)
+}
+
+// refuses says whether connections are refused.
+func (s State) refuses() bool {
+	return s.mode == ModeRefuse || s.Down()
+}
+
+// listening returns the effect of a change of refuses.
+func (s State) listening(before bool) []Effect {
+	switch {
+	case s.refuses() == before:
+		return nil
+	case before:
+		return []Effect{Listen{}}
+	default:
+		return []Effect{Refuse{}}
+	}
+}
+
+// reboot ends the running and the held requests.
+func (s State) reboot(m Reboot) (State, []Effect) {
+	effects := []Effect{Refuse{Cut: true}}
+	for itr := s.held.Iterator(); !itr.Done(); {
+		_, held := itr.Next()
+		effects = append(effects, Reply{ID: id(held), Shape: Nothing})
+	}
+	s.held = immutable.NewList[Message]()
+	s.frozen = time.Time{}
+	s.down = m.Now.Add(m.For)
+	return s.withRunning(immutable.NewSortedMap[uint64, struct{}](nil)), effects
+}
+
+// id returns the request of a held message.
+func id(m Message) uint64 {
+	switch m := m.(type) {
+	case Arrive:
+		return m.ID
+	case Finish:
+		return m.ID
+	case Connect, Disconnect, SetRun, SetLeaving, SetMode, Freeze, Reboot, Tick:
+		panic(fmt.Sprintf("executor: message %T is never held", m))
+	default:
+		panic(fmt.Sprintf("executor: unknown message %T", m))
+	}
+}
+
+func (s State) tick(now time.Time) (State, []Effect) {
+	var effects []Effect
+	if s.Down() && !now.Before(s.down) {
+		before := s.refuses()
+		s.down = time.Time{}
+		effects = s.listening(before)
+	}
+	if s.frozen.IsZero() || now.Before(s.frozen) {
+		return s, effects
+	}
+	s.frozen = time.Time{}
+	held := s.held
+	s.held = immutable.NewList[Message]()
+	for itr := held.Iterator(); !itr.Done(); {
+		_, m := itr.Next()
+		var more []Effect
+		s, more = Step(s, m)
+		effects = append(effects, more...)
+	}
+	return s, effects
+}
