--- a/internal/command/config/source.go
+++ b/internal/command/config/source.go
@@ -19,3 +19,16 @@
 	}
 	return sources[0], sources[1:], nil
 }
+
+// readConfig reads and merges the files of one site.
+func readConfig(paths []string) (file.Config, error) {
+	base, overlays, err := readSources(paths)
+	if err != nil {
+		return file.Config{}, err
+	}
+	c, err := file.Read(base, overlays...)
+	if err != nil {
+		return file.Config{}, fmt.Errorf("invalid configuration:\n%w", err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/command/option/connect.go
@@ -0,0 +1,37 @@
+package option
+
+import (
+	"context"
+	"errors"
+
+	"teaselloft/internal/settings/store"
+
+	"github.com/urfave/cli/v3"
+)
+
+// storeKey is the context key of a store that replaces the platform.
+type storeKey struct{}
+
+// WithStore returns a context in which Connect returns s instead of a client of the platform.
+func WithStore(ctx context.Context, s store.Store) context.Context {
+	return context.WithValue(ctx, storeKey{}, s)
+}
+
+// Connect returns the store behind --platform and --site.
+func Connect(ctx context.Context, c *cli.Command) (store.Store, error) {
+	if s, ok := ctx.Value(storeKey{}).(store.Store); ok {
+		return s, nil
+	}
+	if _, err := Addresses(c); err != nil {
+		return nil, err
+	}
+	if _, err := Required(c, "site"); err != nil {
+		return nil, err
+	}
+	return nil, errors.New("this program has no client of the platform")
+}
+
+// Limit returns a context that ends after --limit.
+func Limit(ctx context.Context, c *cli.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, c.Duration("limit"))
+}
--- /dev/null
+++ b/internal/settings/store/assemble.go
@@ -0,0 +1,127 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/record"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+)
+
+// Assembly is an assembled configuration, from which a newer one costs only the missing deltas.
+type Assembly struct {
+	Fleet    fleet.Fleet
+	Calls    int // reads that this assembly took
+	Bytes    int // read by them
+	key      string
+	document []byte
+}
+
+// Assemble returns the configuration that a head names, starting from an earlier assembly if it can.
+//
+// Its error wraps ErrCorrupt, or the error of the store.
+func (a Assembly) Assemble(ctx context.Context, s Store, h record.Head) (Assembly, error) {
+	return a.extend(ctx, s, chainOf(h), h.Version)
+}
+
+func (a Assembly) extend(ctx context.Context, s Store, c chain, version uint64) (Assembly, error) {
+	a.Calls, a.Bytes = 0, 0
+	missing, known := a.missing(c)
+	if !known {
+		var err error
+		if a, err = readSnapshot(ctx, s, c.Snapshot); err != nil {
+			return Assembly{}, err
+		}
+	}
+	at, _, _ := parseKey(a.key)
+	for _, key := range missing {
+		var err error
+		if a, err = a.withDelta(ctx, s, key, at+1); err != nil {
+			return Assembly{}, err
+		}
+		at++
+	}
+	if at != version {
+		return Assembly{}, fmt.Errorf("%w: head of version %d leads to version %d", ErrCorrupt, version, at)
+	}
+	return a.decoded(version)
+}
+
+// missing returns the deltas to read, and whether the assembly is part of the chain.
+func (a Assembly) missing(c chain) ([]string, bool) {
+	if a.key == "" {
+		return c.Deltas, false
+	}
+	if a.key == c.Snapshot {
+		return c.Deltas, true
+	}
+	if i := slices.Index(c.Deltas, a.key); i >= 0 {
+		return c.Deltas[i+1:], true
+	}
+	return c.Deltas, false
+}
+
+func readSnapshot(ctx context.Context, s Store, key string) (Assembly, error) {
+	text, _, err := s.ReadRaw(ctx, key)
+	if err != nil {
+		return Assembly{}, fmt.Errorf("read snapshot %q: %w", key, err)
+	}
+	var value snapshot
+	if err := decode(key, text, &value); err != nil {
+		return Assembly{}, err
+	}
+	if err := value.verify(key); err != nil {
+		return Assembly{}, err
+	}
+	return Assembly{key: key, document: value.Document, Calls: 1, Bytes: len(text)}, nil
+}
+
+// withDelta returns the assembly with the patch of one more version.
+func (a Assembly) withDelta(ctx context.Context, s Store, key string, version uint64) (Assembly, error) {
+	text, _, err := s.ReadRaw(ctx, key)
+	if err != nil {
+		return Assembly{}, fmt.Errorf("read delta %q: %w", key, err)
+	}
+	var value delta
+	if err := decode(key, text, &value); err != nil {
+		return Assembly{}, err
+	}
+	if err := value.verify(key); err != nil {
+		return Assembly{}, err
+	}
+	if value.Version != version {
+		return Assembly{}, fmt.Errorf("%w: delta %q follows version %d", ErrCorrupt, key, version-1)
+	}
+	merged, err := jsonpatch.MergePatch(a.document, value.Patch)
+	if err != nil {
+		return Assembly{}, fmt.Errorf("%w: delta %q: %w", ErrCorrupt, key, err)
+	}
+	a.key, a.document = key, merged
+	a.Calls++
+	a.Bytes += len(text)
+	return a, nil
+}
+
+// decoded returns the assembly with its fleet.
+func (a Assembly) decoded(version uint64) (Assembly, error) {
+	var d document
+	if err := decode(a.key, a.document, &d); err != nil {
+		return Assembly{}, err
+	}
+	a.Fleet = d.fleet(version)
+	return a, nil
+}
+
+// patch returns the merge patch that makes a document from the assembly's, and whether it does so without loss.
+func (a Assembly) patch(to []byte) (json.RawMessage, bool) {
+	patch, err := jsonpatch.CreateMergePatch(a.document, to)
+	if err != nil {
+		return nil, false
+	}
+	merged, err := jsonpatch.MergePatch(a.document, patch)
+	return patch, err == nil && jsonpatch.Equal(merged, to)
+}
--- /dev/null
+++ b/internal/standin/memory/store.go
@@ -0,0 +1,216 @@
+package memory
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+)
+
+// Fault is what happens to one call.
+type Fault int
+
+// The faults of a call.
+const (
+	None   Fault = iota
+	Refuse       // the call has no effect and its caller gets ErrUnavailable
+	Lose         // the call takes effect and its caller gets ErrUnavailable
+)
+
+// Call is one call of the store.
+type Call struct {
+	Write bool
+	Key   string // or the prefix of a list
+}
+
+// Counters count the calls and the bytes of values.
+type Counters struct {
+	Reads, Writes           int
+	BytesRead, BytesWritten int
+}
+
+// Store keeps values in memory; the zero Store is not usable.
+type Store struct {
+	mutex    sync.Mutex
+	values   map[string]value
+	revision int64
+	inject   func(Call) Fault
+	watch    func(message.Changed)
+	counters Counters
+}
+
+type value struct {
+	record   record.Record
+	raw      []byte
+	revision int64
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		values: map[string]value{},
+		inject: func(Call) Fault { return None },
+		watch:  func(message.Changed) {},
+	}
+}
+
+// Inject decides the fault of every later call; f must not call the store.
+func (s *Store) Inject(f func(Call) Fault) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.inject = f
+}
+
+// Watch reports every later write of a record, in order; f must not call the store.
+func (s *Store) Watch(f func(message.Changed)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.watch = f
+}
+
+// Counters returns the counters since New.
+func (s *Store) Counters() Counters {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.counters
+}
+
+// Keys returns the sorted keys.
+func (s *Store) Keys() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Sorted(maps.Keys(s.values))
+}
+
+// Swap writes or deletes a record if its key has the expected revision.
+func (s *Store) Swap(ctx context.Context, w message.Write) (int64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	key := w.Record.Key()
+	fault, err := s.begin(ctx, Call{Write: true, Key: key})
+	if err != nil {
+		return 0, err
+	}
+	if s.values[key].revision != w.Expected {
+		err = fmt.Errorf("swap %q: %w", key, message.ErrConflict)
+	} else {
+		s.swap(key, w)
+	}
+	if fault == Lose {
+		return 0, lost(key)
+	}
+	return s.values[key].revision, err
+}
+
+func (s *Store) swap(key string, w message.Write) {
+	s.revision++
+	text, err := json.Marshal(w.Record)
+	if err != nil {
+		panic(fmt.Sprintf("record %T cannot be encoded: %v", w.Record, err))
+	}
+	s.counters.BytesWritten += len(text)
+	if w.Delete {
+		delete(s.values, key)
+	} else {
+		s.values[key] = value{record: w.Record, raw: text, revision: s.revision}
+	}
+	s.watch(message.Changed{Record: w.Record, Revision: s.revision, Deleted: w.Delete})
+}
+
+// Read returns a record and its revision.
+func (s *Store) Read(ctx context.Context, key string) (record.Record, int64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	v, err := s.read(ctx, key)
+	return v.record, v.revision, err
+}
+
+// ReadRaw returns a value as it was written and its revision.
+func (s *Store) ReadRaw(ctx context.Context, key string) ([]byte, int64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	v, err := s.read(ctx, key)
+	return v.raw, v.revision, err
+}
+
+func (s *Store) read(ctx context.Context, key string) (value, error) {
+	fault, err := s.begin(ctx, Call{Key: key})
+	if err != nil {
+		return value{}, err
+	}
+	v, ok := s.values[key]
+	if fault == Lose {
+		return value{}, lost(key)
+	}
+	if !ok {
+		return value{}, fmt.Errorf("read %q: %w", key, message.ErrNotFound)
+	}
+	s.counters.BytesRead += len(v.raw)
+	return v, nil
+}
+
+// WriteRaw writes a value whatever the key holds.
+func (s *Store) WriteRaw(ctx context.Context, key string, text []byte) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	fault, err := s.begin(ctx, Call{Write: true, Key: key})
+	if err != nil {
+		return err
+	}
+	s.revision++
+	s.counters.BytesWritten += len(text)
+	s.values[key] = value{raw: slices.Clone(text), revision: s.revision}
+	if fault == Lose {
+		return lost(key)
+	}
+	return nil
+}
+
+// List returns the records below a prefix in order of key.
+func (s *Store) List(ctx context.Context, prefix string) ([]message.Changed, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	fault, err := s.begin(ctx, Call{Key: prefix})
+	if err != nil {
+		return nil, err
+	}
+	if fault == Lose {
+		return nil, lost(prefix)
+	}
+	var found []message.Changed
+	for _, key := range slices.Sorted(maps.Keys(s.values)) {
+		v := s.values[key]
+		if strings.HasPrefix(key, prefix) && v.record != nil {
+			s.counters.BytesRead += len(v.raw)
+			found = append(found, message.Changed{Record: v.record, Revision: v.revision})
+		}
+	}
+	return found, nil
+}
+
+// begin counts a call and returns its fault, or the error of a call that has no effect.
+func (s *Store) begin(ctx context.Context, c Call) (Fault, error) {
+	if err := ctx.Err(); err != nil {
+		return None, err
+	}
+	if c.Write {
+		s.counters.Writes++
+	} else {
+		s.counters.Reads++
+	}
+	fault := s.inject(c)
+	if fault == Refuse {
+		return None, lost(c.Key)
+	}
+	return fault, nil
+}
+
+func lost(key string) error {
+	return fmt.Errorf("call on %q: %w", key, message.ErrUnavailable)
+}
