--- a/internal/settings/store/apply.go
+++ b/internal/settings/store/apply.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -12,7 +11,6 @@
 	"teaselloft/internal/model/record"
 
 	"github.com/cenkalti/backoff/v5"
-	jsonpatch "github.com/evanphx/json-patch/v5"
 )
 
 const (
@@ -119,11 +117,17 @@
 }
 
 // current returns the configuration in force, the zero Assembly when there is none.
+//
+// A damaged one counts as none, so that the next change repairs it with a snapshot.
 func current(ctx context.Context, s Store, head record.Head) (Assembly, error) {
 	if head.Version == 0 {
 		return Assembly{}, nil
 	}
-	return Assembly{}.Assemble(ctx, s, head)
+	a, err := Assembly{}.Assemble(ctx, s, head)
+	if Damaged(err) {
+		return Assembly{}, nil
+	}
+	return a, err
 }
 
 // recognize reports success when the version after the change's base is the change itself.
@@ -146,83 +150,3 @@
 	return Applied{Version: c.Base + 1, Recognized: true, Instances: placed}, err
 }
 
-// planned is a value to write and the head that brings it into force.
-type planned struct {
-	key     string
-	value   []byte
-	head    record.Head
-	applied Applied
-}
-
-// plan returns the writes of a change; it prefers a delta and takes a snapshot after maxDeltas of them.
-func plan(head record.Head, now Assembly, c Change) (planned, error) {
-	text, err := json.Marshal(newDocument(c.Fleet))
-	if err != nil {
-		return planned{}, fmt.Errorf("encode configuration: %w", err)
-	}
-	if now.key != "" && jsonpatch.Equal(now.document, text) {
-		return planned{applied: Applied{Version: head.Version, Unchanged: true}}, nil
-	}
-	by := stamp{Version: head.Version + 1, Change: c.ID, Author: c.Author, Time: c.Time}
-	p := planned{head: record.Head{Version: by.Version, Change: c.ID, Author: c.Author, Time: c.Time}}
-	p.applied = Applied{Version: by.Version}
-	patch, whole := now.patchOf(head, text)
-	if whole {
-		err = p.snapshot(head, by, text)
-	} else {
-		err = p.delta(head, by, patch)
-	}
-	if err == nil && len(p.value) > maxValue {
-		err = fmt.Errorf("%w: %d bytes, the limit is %d", ErrTooLarge, len(p.value), maxValue)
-	}
-	p.applied.Bytes = len(p.value)
-	return p, err
-}
-
-// patchOf returns the patch to a document, or true when it must be written whole.
-func (a Assembly) patchOf(head record.Head, text []byte) (json.RawMessage, bool) {
-	if a.key == "" || len(head.Deltas) >= maxDeltas {
-		return nil, true
-	}
-	patch, ok := a.patch(text)
-	return patch, !ok || len(patch) >= len(text)
-}
-
-func (p *planned) snapshot(head record.Head, by stamp, text []byte) error {
-	value := snapshot{stamp: by, Document: text}
-	if head.Version > 0 {
-		previous := chainOf(head)
-		value.Previous = &previous
-	}
-	p.key = snapshotKey(by.Version, by.Change)
-	p.head.Snapshot = p.key
-	p.applied.Snapshot = true
-	var err error
-	p.value, err = json.Marshal(value)
-	return err
-}
-
-func (p *planned) delta(head record.Head, by stamp, patch json.RawMessage) error {
-	p.key = deltaKey(by.Version, by.Change)
-	p.head.Snapshot = head.Snapshot
-	p.head.Deltas = append(append([]string{}, head.Deltas...), p.key)
-	var err error
-	p.value, err = json.Marshal(delta{stamp: by, Patch: patch})
-	return err
-}
-
-// write stores the value before the head that names it.
-func (p *planned) write(ctx context.Context, s Store, revision int64) error {
-	if err := s.WriteRaw(ctx, p.key, p.value); err != nil {
-		return fmt.Errorf("write %q: %w", p.key, err)
-	}
-	text, err := json.Marshal(p.head)
-	if err != nil {
-		return fmt.Errorf("encode configuration head: %w", err)
-	}
-	if _, err := s.Swap(ctx, message.Write{Record: p.head, Expected: revision}); err != nil {
-		return fmt.Errorf("write configuration head: %w", err)
-	}
-	p.applied.Bytes += len(text)
-	return nil
-}
--- a/internal/settings/store/history.go
+++ b/internal/settings/store/history.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"teaselloft/internal/model/fleet"
@@ -16,55 +18,61 @@
 	Author   string    `json:"author"`
 	Time     time.Time `json:"time"`
 	Snapshot bool      `json:"snapshot"` // stored whole
+	Damaged  bool      `json:"damaged"`  // its value cannot be decoded
 	Bytes    int       `json:"bytes"`
 }
 
-// History returns at most limit versions, newest first.
+// History returns at most limit versions, newest first; a damaged snapshot ends it.
 func History(ctx context.Context, s Store, limit int) ([]Entry, error) {
 	head, _, err := ReadHead(ctx, s)
 	if err != nil || head.Version == 0 {
 		return nil, err
 	}
 	var entries []Entry
-	c := chainOf(head)
-	for len(entries) < limit {
-		for i := len(c.Deltas) - 1; i >= 0 && len(entries) < limit; i-- {
-			var value delta
-			e, err := readEntry(ctx, s, c.Deltas[i], &value, &value.stamp)
+	for c := chainOf(head); ; {
+		var previous *chain
+		for _, key := range c.newestFirst() {
+			if len(entries) >= limit {
+				return entries, nil
+			}
+			var value snapshot
+			e, err := readEntry(ctx, s, key, &value)
 			if err != nil {
 				return nil, err
 			}
 			entries = append(entries, e)
+			previous = value.Previous
 		}
-		if len(entries) == limit {
-			break
-		}
-		var value snapshot
-		e, err := readEntry(ctx, s, c.Snapshot, &value, &value.stamp)
-		if err != nil {
-			return nil, err
-		}
-		e.Snapshot = true
-		entries = append(entries, e)
-		if value.Previous == nil {
-			break
+		if previous == nil {
+			return entries, nil
 		}
-		c = *value.Previous
+		c = *previous
 	}
-	return entries, nil
 }
 
-// readEntry fills value, which holds by, from a key.
-func readEntry(ctx context.Context, s Store, key string, value any, by *stamp) (Entry, error) {
+// newestFirst returns the chain's keys, the snapshot last.
+func (c chain) newestFirst() []string {
+	names := append([]string{c.Snapshot}, c.Deltas...)
+	slices.Reverse(names)
+	return names
+}
+
+// readEntry fills value from a snapshot or delta; a value that cannot be decoded is no error.
+func readEntry(ctx context.Context, s Store, key string, value *snapshot) (Entry, error) {
+	version, change, _ := parseKey(key)
+	e := Entry{Version: version, Change: change, Snapshot: strings.HasPrefix(key, prefixSnapshot)}
 	text, _, err := s.ReadRaw(ctx, key)
-	if err != nil {
+	if err != nil && !Damaged(err) {
 		return Entry{}, fmt.Errorf("read %q: %w", key, err)
 	}
-	if err := decode(key, text, value); err != nil {
-		return Entry{}, err
+	e.Bytes = len(text)
+	if err != nil || decode(key, text, value) != nil || value.verify(key) != nil {
+		*value = snapshot{}
+		e.Damaged = true
+		return e, nil
 	}
-	e := Entry{Version: by.Version, Change: by.Change, Author: by.Author, Time: by.Time, Bytes: len(text)}
-	return e, by.verify(key)
+	e.Author, e.Time = value.Author, value.Time
+	return e, nil
 }
 
 // chainWith walks back from the head to the chain that ends with a version; its error may wrap ErrNoVersion.
@@ -78,11 +86,12 @@
 			return chain{}, fmt.Errorf("%w: version %d, the newest is %d", ErrNoVersion, version, head.Version)
 		}
 		var value snapshot
-		if _, err := readEntry(ctx, s, c.Snapshot, &value, &value.stamp); err != nil {
+		e, err := readEntry(ctx, s, c.Snapshot, &value)
+		if err != nil {
 			return chain{}, err
 		}
 		if value.Previous == nil {
-			return chain{}, fmt.Errorf("%w: version %d, the oldest is %d", ErrNoVersion, version, value.Version)
+			return chain{}, fmt.Errorf("%w: version %d, the oldest is %d", ErrNoVersion, version, e.Version)
 		}
 		c = *value.Previous
 	}
--- a/internal/settings/store/port.go
+++ b/internal/settings/store/port.go
@@ -26,10 +26,17 @@
 	ErrCorrupt = errors.New("stored configuration cannot be decoded")
 	// ErrTooLarge means that a value exceeds the platform's limit.
 	ErrTooLarge = errors.New("configuration is too large for the platform")
+	// ErrOtherContent means that the id of a change was used before for another change.
+	ErrOtherContent = errors.New("change id was used with other content")
 	// ErrNoVersion means that the history does not hold a version.
 	ErrNoVersion = errors.New("configuration version does not exist")
 )
 
+// Damaged reports whether an error means that a stored configuration is lost, so that reading it again is of no use.
+func Damaged(err error) bool {
+	return errors.Is(err, ErrCorrupt) || errors.Is(err, message.ErrNotFound)
+}
+
 // StaleError names the version in force and the version that a refused change was made from.
 type StaleError struct {
 	Base    uint64 // version that the change was made from
--- a/internal/standin/memory/store.go
+++ b/internal/standin/memory/store.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -155,7 +156,7 @@
 	return v, nil
 }
 
-// WriteRaw writes a value whatever the key holds.
+// WriteRaw creates a key; it wraps ErrConflict if the key has another value.
 func (s *Store) WriteRaw(ctx context.Context, key string, text []byte) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -163,15 +164,32 @@
 	if err != nil {
 		return err
 	}
-	s.revision++
-	s.counters.BytesWritten += len(text)
-	s.values[key] = value{raw: slices.Clone(text), revision: s.revision}
-	if fault == Lose {
+	old, exists := s.values[key]
+	if !exists {
+		s.put(key, text)
+	}
+	switch {
+	case fault == Lose:
 		return lost(key)
+	case exists && !bytes.Equal(old.raw, text):
+		return fmt.Errorf("write %q: %w", key, message.ErrConflict)
 	}
 	return nil
 }
 
+func (s *Store) put(key string, text []byte) {
+	s.revision++
+	s.counters.BytesWritten += len(text)
+	s.values[key] = value{raw: slices.Clone(text), revision: s.revision}
+}
+
+// Damage replaces the value of a key with text, as a fault of the platform would.
+func (s *Store) Damage(key, text string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.put(key, []byte(text))
+}
+
 // List returns the records below a prefix in order of key.
 func (s *Store) List(ctx context.Context, prefix string) ([]message.Changed, error) {
 	s.mutex.Lock()
