--- a/internal/command/option/connect.go
+++ b/internal/command/option/connect.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"errors"
 
+	"teaselloft/internal/link/platform"
 	"teaselloft/internal/settings/store"
 
 	"github.com/urfave/cli/v3"
@@ -22,13 +22,15 @@
 	if s, ok := ctx.Value(storeKey{}).(store.Store); ok {
 		return s, nil
 	}
-	if _, err := Addresses(c); err != nil {
+	addresses, err := Addresses(c)
+	if err != nil {
 		return nil, err
 	}
-	if _, err := Required(c, "site"); err != nil {
+	site, err := Required(c, "site")
+	if err != nil {
 		return nil, err
 	}
-	return nil, errors.New("this program has no client of the platform")
+	return platform.NewStore(addresses, site)
 }
 
 // Limit returns a context that ends after --limit.
--- a/internal/settings/store/apply.go
+++ b/internal/settings/store/apply.go
@@ -149,4 +149,3 @@
 	placed, err := place(ctx, s, fleet.Fleet{}, c)
 	return Applied{Version: c.Base + 1, Recognized: true, Instances: placed}, err
 }
-
--- a/internal/settings/store/history.go
+++ b/internal/settings/store/history.go
@@ -66,15 +66,19 @@
 		return Entry{}, fmt.Errorf("read %q: %w", key, err)
 	}
 	e.Bytes = len(text)
-	if err != nil || decode(key, text, value) != nil || value.verify(key) != nil {
+	if !readable(key, text, value) {
 		*value = snapshot{}
 		e.Damaged = true
-		return e, nil
 	}
 	e.Author, e.Time = value.Author, value.Time
 	return e, nil
 }
 
+// readable fills value from the text at key, which is empty when the key is lost.
+func readable(key string, text []byte, value *snapshot) bool {
+	return decode(key, text, value) == nil && value.verify(key) == nil
+}
+
 // chainWith walks back from the head to the chain that ends with a version; its error may wrap ErrNoVersion.
 func chainWith(ctx context.Context, s Store, head record.Head, version uint64) (chain, error) {
 	c := chainOf(head)
