--- a/internal/core/kernel/kernel_test.go
+++ b/internal/core/kernel/kernel_test.go
@@ -80,3 +80,15 @@
 		c.Check(err, qt.ErrorIs, kernel.ErrSettings, qt.Commentf("%s", text))
 	}
 }
+
+// Guards against settings faults that are reported one at a time, or without their place.
+func TestParseSettingsListsEveryFault(t *testing.T) {
+	c := qt.New(t)
+	_, err := kernel.ParseSettings([]byte("{\"name\":\"a\",\"name\":\"b\",\n\"plugins\":{\"sample\":{\"fial\":1,\"fail\":2},\n\"none\":{}}}"))
+	c.Assert(err, qt.ErrorIs, kernel.ErrSettings)
+	c.Assert(err, qt.ErrorMatches, `invalid settings:
+line 1, column 13: field "name": duplicate key, first used on line 1
+line 2, column 22: field "plugins.sample.fial": unknown field
+line 2, column 38: field "plugins.sample.fail": must be true or false, not a number
+line 3, column 1: field "plugins.none": plug-in does not exist`)
+}
--- a/internal/decision/correct/index.go
+++ b/internal/decision/correct/index.go
@@ -1,25 +1,21 @@
 package correct
 
-import (
-	"unicode/utf8"
-
-	"teaselloft/internal/model/fleet"
-)
+import "teaselloft/internal/model/fleet"
 
 // Index finds services by name; it is never changed after New.
 type Index struct {
 	exact    map[string]service // by normalized name
 	fixes    map[string]fix     // by normalized misspelled name
-	byLength map[int][]service  // by code points of the normalized name, sorted by name
+	byLength map[int][]service  // by code points of the normalized name
 	reach    int                // largest distance that any lookup accepts
 }
 
 // service is what a lookup needs of a service.
 type service struct {
-	name       string
-	normalized string
-	fleet      string
-	nearest    int
+	name    string
+	text    []rune // normalized name
+	fleet   string
+	nearest int
 }
 
 // fix is an operators' correction followed to its service.
@@ -52,10 +48,10 @@
 }
 
 func (x *Index) addService(s fleet.Service) {
-	entry := service{name: s.Name, normalized: fleet.Normalize(s.Name), fleet: s.Fleet, nearest: s.Nearest}
-	x.exact[entry.normalized] = entry
-	length := utf8.RuneCountInString(entry.normalized)
-	x.byLength[length] = append(x.byLength[length], entry)
+	normalized := fleet.Normalize(s.Name)
+	entry := service{name: s.Name, text: []rune(normalized), fleet: s.Fleet, nearest: s.Nearest}
+	x.exact[normalized] = entry
+	x.byLength[len(entry.text)] = append(x.byLength[len(entry.text)], entry)
 	x.reach = max(x.reach, s.Nearest)
 }
 
--- a/internal/decision/correct/nearest.go
+++ b/internal/decision/correct/nearest.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"unicode/utf8"
 
 	"github.com/agext/levenshtein"
 )
@@ -30,16 +29,16 @@
 // near returns the services of the asked fleet within reach of a normalized name.
 func (x Index) near(name, asked string) neighbourhood {
 	var found neighbourhood
-	length := utf8.RuneCountInString(name)
-	if length > maxLength {
+	text := []rune(name)
+	if len(text) > maxLength {
 		return nil
 	}
-	for l := length - x.reach; l <= length+x.reach; l++ {
+	for l := len(text) - x.reach; l <= len(text)+x.reach; l++ {
 		for _, s := range x.byLength[l] {
 			if !inFleet(s, asked) {
 				continue
 			}
-			if d := distance(name, s.normalized, x.reach); d <= x.reach {
+			if d := distance(text, s.text); d <= x.reach {
 				found = append(found, neighbour{service: s, distance: d})
 			}
 		}
@@ -53,9 +52,13 @@
 	return found
 }
 
-// distance returns the edit distance in code points, or a greater number than limit.
-func distance(a, b string, limit int) int {
-	return levenshtein.Distance(a, b, levenshtein.NewParams().MaxCost(limit))
+// distance returns the edit distance in code points.
+//
+// It sets no maximum cost: with one, agext/levenshtein v1.2.3 can return less
+// than the distance, such as 2 for "bbbb" and "aaaa" with a maximum of 2.
+func distance(a, b []rune) int {
+	d, _, _ := levenshtein.Calculate(a, b, 0, 1, 1, 1)
+	return d
 }
 
 // decide applies the nearest rule.
