--- a/internal/decision/wave/candidate.go
+++ b/internal/decision/wave/candidate.go
@@ -119,7 +119,7 @@
 func (p *pass) refusal(c candidate) string {
 	s, id := p.state, c.kept.Record.ID
 	switch {
-	case s.now.Sub(s.listedAt) > s.settings.ListLimit:
+	case s.now.Sub(s.listTime()) > s.settings.ListLimit:
 		return "the instance list is older than " + s.settings.ListLimit.String()
 	case !s.Live(id):
 		return "not live in the instance list"
--- a/internal/decision/wave/instance.go
+++ b/internal/decision/wave/instance.go
@@ -129,7 +129,7 @@
 	r, s := k.Record, p.state
 	gone, absent := s.gone.Get(r.ID)
 	rebooted := absent && gone.After(r.Since)
-	settled := s.listedAt.Sub(r.Since) >= s.settings.Settle
+	settled := s.listTime().Sub(r.Since) >= s.settings.Settle
 	if s.Live(r.ID) && (rebooted || settled) {
 		p.comeBack(k)
 		return
--- a/internal/decision/wave/message.go
+++ b/internal/decision/wave/message.go
@@ -36,6 +36,9 @@
 	Instances []message.Listing
 }
 
+// Confirmed says that the instance list was read again and is unchanged.
+type Confirmed struct{ Now time.Time }
+
 // Flights brings the requests in flight at draining instances, -1 for unknown.
 type Flights struct {
 	Now    time.Time
@@ -90,6 +93,7 @@
 func (Changed) message()    {}
 func (Loaded) message()     {}
 func (Listed) message()     {}
+func (Confirmed) message()  {}
 func (Flights) message()    {}
 func (Written) message()    {}
 func (ReadFailed) message() {}
--- a/internal/decision/wave/state.go
+++ b/internal/decision/wave/state.go
@@ -47,6 +47,7 @@
 
 	live     map[string]message.Listing // replaced as a whole
 	listedAt time.Time
+	confirms bool // unchanged lists are confirmed, so that the age of the list is known
 
 	gone    *immutable.SortedMap[string, time.Time] // rebooting instances seen absent from the list
 	flights *immutable.SortedMap[string, flight]
@@ -170,6 +171,14 @@
 	return s.live[id].State == "live"
 }
 
+// listTime returns when the instance list was last known to be current; without confirmations that is now.
+func (s State) listTime() time.Time {
+	if s.confirms || s.live == nil {
+		return s.listedAt
+	}
+	return s.now
+}
+
 // acts returns whether this process may decide: it proves to be the planner and knows the fleet and every record.
 func (s State) acts() bool {
 	return s.epoch > 0 && s.loaded && s.declared != nil && s.now.Before(s.until)
--- a/internal/decision/wave/step.go
+++ b/internal/decision/wave/step.go
@@ -20,6 +20,10 @@
 		return load(s, m), nil
 	case Listed:
 		return list(s.WithNow(m.Now), m), nil
+	case Confirmed:
+		s = s.WithNow(m.Now)
+		s.listedAt, s.confirms = m.Now, true
+		return s, nil
 	case Flights:
 		return fly(s.WithNow(m.Now), m), nil
 	case Written:
--- /dev/null
+++ b/internal/link/plan/meters.go
@@ -0,0 +1,40 @@
+package plan
+
+import (
+	"teaselloft/internal/decision/wave"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// meters are the plug-in's metrics.
+type meters struct {
+	writes    metrics.Counter
+	conflicts metrics.Counter
+	lost      metrics.Counter
+	steps     metrics.Timer
+}
+
+func newMeters(r metrics.Registry) meters {
+	return meters{
+		writes:    metrics.GetOrRegisterCounter("plan.writes", r),
+		conflicts: metrics.GetOrRegisterCounter("plan.conflicts", r),
+		lost:      metrics.GetOrRegisterCounter("plan.lost", r),
+		steps:     metrics.GetOrRegisterTimer("plan.steps", r),
+	}
+}
+
+// registerGauges adds gauges that are computed from the state when they are read.
+func registerGauges(r metrics.Registry, report func() wave.Report) {
+	gauge := func(name string, value func(wave.Report) int) {
+		r.GetOrRegister(name, metrics.NewFunctionalGauge(func() int64 { return int64(value(report())) }))
+	}
+	gauge("plan.owner", func(r wave.Report) int { return min(int(r.Epoch), 1) })
+	gauge("plan.waiting", func(r wave.Report) int { return len(r.Blocked) })
+	gauge("plan.out", func(r wave.Report) int {
+		out := 0
+		for _, s := range r.Services {
+			out += len(s.Held)
+		}
+		return out
+	})
+}
--- /dev/null
+++ b/internal/link/plan/plugin.go
@@ -0,0 +1,22 @@
+package plan
+
+import (
+	"teaselloft/internal/core/kernel"
+)
+
+func init() {
+	kernel.Register(Name, Defaults, build)
+}
+
+func build(h *kernel.Host, s Settings) ([]kernel.Duty, error) {
+	events := kernel.Open(h, eventPort)
+	calls := kernel.Open(h, callPort)
+	subscribe(h, events)
+	p := newPlanner(h, s, events, calls)
+	c := &caller{host: h, calls: calls, events: events, limit: s.Call.Value(), meters: p.meters}
+	h.Dump(Name, p.dump)
+	return []kernel.Duty{
+		{Name: "plan", Run: p.run},
+		{Name: "plan.call", Run: c.run},
+	}, nil
+}
--- /dev/null
+++ b/internal/link/plan/settings.go
@@ -0,0 +1,40 @@
+package plan
+
+import (
+	"time"
+
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/decision/wave"
+)
+
+// Name is the plug-in's name.
+const Name = "plan"
+
+// Settings of the plug-in.
+type Settings struct {
+	Drain  kernel.Duration `json:"drain"`  // limit after which a drain waits for the operator
+	Reboot kernel.Duration `json:"reboot"` // limit after which an instance has failed to come back
+	Settle kernel.Duration `json:"settle"` // longest lag of the instance list
+	Hold   kernel.Duration `json:"hold"`   // rest of a service after unplanned failures
+	Poll   kernel.Duration `json:"poll"`   // between looks at the requests in flight of draining instances
+	Call   kernel.Duration `json:"call"`   // limit of one platform call
+}
+
+// Defaults are the settings unless the section says otherwise.
+var Defaults = Settings{
+	Drain:  kernel.Duration(wave.Defaults().DrainLimit),
+	Reboot: kernel.Duration(wave.Defaults().ReturnLimit),
+	Settle: kernel.Duration(wave.Defaults().Settle),
+	Hold:   kernel.Duration(wave.Defaults().Hold),
+	Poll:   kernel.Duration(time.Second),
+	Call:   kernel.Duration(5 * time.Second),
+}
+
+func (s Settings) wave() wave.Settings {
+	w := wave.Defaults()
+	w.DrainLimit = s.Drain.Value()
+	w.ReturnLimit = s.Reboot.Value()
+	w.Settle = s.Settle.Value()
+	w.Hold = s.Hold.Value()
+	return w
+}
--- a/internal/model/message/planner.go
+++ b/internal/model/message/planner.go
@@ -16,3 +16,8 @@
 	// InFlight returns the requests in flight at an instance over all entry instances, or -1 when it is unknown.
 	InFlight(instance string) int
 }
+
+// Confirmed says that the platform answered with the instance list that was published last.
+type Confirmed struct {
+	Time time.Time
+}
--- a/internal/model/message/port.go
+++ b/internal/model/message/port.go
@@ -52,6 +52,8 @@
 	ChangedTopic = kernel.Topic[Changed]{Name: "changed"}
 	// ListedTopic carries each new instance list.
 	ListedTopic = kernel.Topic[Listed]{Name: "listed"}
+	// ConfirmedTopic carries each read that found the instance list unchanged.
+	ConfirmedTopic = kernel.Topic[Confirmed]{Name: "confirmed"}
 	// RenewedTopic carries each answered keep-alive.
 	RenewedTopic = kernel.Topic[Renewed]{Name: "renewed"}
 )
