--- a/internal/model/record/record.go
+++ b/internal/model/record/record.go
@@ -33,10 +33,11 @@
 	Entry       string    `json:"entry"`
 	Incarnation string    `json:"incarnation"`
 	Zone        string    `json:"zone"`
-	Address     string    `json:"address"`  // of the entry listener
-	Operator    string    `json:"operator"` // address of the operators' listener
-	Config      uint64    `json:"config"`   // configuration version in force
-	Since       time.Time `json:"since"`    // when that version came into force
+	Address     string    `json:"address"`           // of the entry listener
+	Operator    string    `json:"operator"`          // address of the operators' listener
+	Config      uint64    `json:"config"`            // configuration version in force
+	Since       time.Time `json:"since"`             // when that version came into force
+	Leaving     bool      `json:"leaving,omitempty"` // stopping gracefully, takes over no service
 }
 
 // Owner says which entry instance dispatches a service; it outlives its owner.
@@ -66,9 +67,10 @@
 
 // Claimed is one claimed idempotency key.
 type Claimed struct {
-	Hash  string `json:"hash"`
-	Entry string `json:"entry"` // entry instance that sends it
-	Time  int64  `json:"time"`  // Unix milliseconds
+	Hash    string `json:"hash"`
+	Entry   string `json:"entry"`             // entry instance that sends it
+	Request string `json:"request,omitempty"` // identifier of the request that holds the claim
+	Time    int64  `json:"time"`              // Unix milliseconds
 }
 
 // InstanceState says whether an instance may get work.
