Run the planner in the plan plug-in

The planning duty sleeps until an event or the decision's next wake time; a second duty makes its platform calls, and a full ring between them counts as a call without an answer.

--- a/internal/decision/wave/progress.go
+++ b/internal/decision/wave/progress.go
@@ -136,6 +136,9 @@
 // Wake returns when Step has to see the time again if nothing else happens, zero for never.
 func (s State) Wake() time.Time {
 	var wake time.Time
+	if s.epoch == 0 {
+		return wake
+	}
 	at := func(t time.Time) {
 		if t.After(s.now) && (wake.IsZero() || t.Before(wake)) {
 			wake = t
@@ -147,7 +150,7 @@
 			at(o.next)
 		}
 	}
-	if s.epoch > 0 && !s.loaded {
+	if !s.loaded {
 		at(s.loading)
 	}
 	for itr := s.instances.Iterator(); !itr.Done(); {
--- a/internal/decision/wave/state.go
+++ b/internal/decision/wave/state.go
@@ -49,7 +49,7 @@
 	listedAt time.Time
 	confirms bool // unchanged lists are confirmed, so that the age of the list is known
 
-	gone    *immutable.SortedMap[string, time.Time] // rebooting instances seen absent from the list
+	gone    *immutable.SortedMap[string, time.Time] // when an instance out of service was last absent from the list
 	flights *immutable.SortedMap[string, flight]
 	open    *immutable.SortedMap[string, open]      // by key
 	held    *immutable.SortedMap[string, time.Time] // services that lost instances, until when nothing is taken out
--- a/internal/decision/wave/step.go
+++ b/internal/decision/wave/step.go
@@ -130,7 +130,8 @@
 	s.listedAt = m.Now
 	for itr := s.instances.Iterator(); !itr.Done(); {
 		id, k, _ := itr.Next()
-		if out := k.Record.State == record.Rebooting || k.Record.State == record.Out; out && !s.Live(id) {
+		// A draining instance counts too: the write that lets it reboot may not be confirmed yet.
+		if k.Record.State != record.Serving && !s.Live(id) {
 			s.gone = s.gone.Set(id, m.Now)
 		}
 	}
--- a/internal/link/plan/meters.go
+++ b/internal/link/plan/meters.go
@@ -6,12 +6,18 @@
 	"github.com/rcrowley/go-metrics"
 )
 
+// The sample of step times is the one that go-metrics recommends: 1,028 values, most of them of the last five minutes.
+const (
+	stepSamples = 1028
+	stepDecay   = 0.015
+)
+
 // meters are the plug-in's metrics.
 type meters struct {
 	writes    metrics.Counter
 	conflicts metrics.Counter
 	lost      metrics.Counter
-	steps     metrics.Timer
+	steps     metrics.Histogram // microseconds
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -19,7 +25,7 @@
 		writes:    metrics.GetOrRegisterCounter("plan.writes", r),
 		conflicts: metrics.GetOrRegisterCounter("plan.conflicts", r),
 		lost:      metrics.GetOrRegisterCounter("plan.lost", r),
-		steps:     metrics.GetOrRegisterTimer("plan.steps", r),
+		steps:     metrics.GetOrRegisterHistogram("plan.steps", r, metrics.NewExpDecaySample(stepSamples, stepDecay)),
 	}
 }
 
--- /dev/null
+++ b/internal/link/plan/plan_test.go
@@ -0,0 +1,218 @@
+package plan_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/decision/wave"
+	"teaselloft/internal/link/plan"
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+)
+
+// platform is a store in memory whose instances reboot as soon as they are told to.
+type platform struct {
+	mutex    sync.Mutex
+	host     *kernel.Host
+	records  map[string]message.Changed
+	revision int64
+	fleet    fleet.Fleet
+	down     map[string]bool
+	lose     int // every lose-th answer to a write is lost after it took effect
+	writes   int
+	owns     bool
+}
+
+func (p *platform) Swap(ctx context.Context, w message.Write) (int64, error) {
+	p.mutex.Lock()
+	key := w.Record.Key()
+	if p.records[key].Revision != w.Expected {
+		p.mutex.Unlock()
+		return 0, message.ErrConflict
+	}
+	p.revision++
+	change := message.Changed{Record: w.Record, Revision: p.revision}
+	p.records[key] = change
+	p.writes++
+	lost := p.lose > 0 && p.writes%p.lose == 0
+	p.mutex.Unlock()
+	if i, ok := w.Record.(record.Instance); ok && i.State == record.Rebooting {
+		p.reboot(ctx, i.ID)
+	}
+	if lost {
+		return 0, message.ErrUnavailable
+	}
+	return change.Revision, kernel.Publish(ctx, p.host, message.ChangedTopic, change)
+}
+
+// reboot takes the instance off the list and puts it back.
+func (p *platform) reboot(ctx context.Context, id string) {
+	for _, down := range []bool{true, false} {
+		p.down[id] = down
+		_ = kernel.Publish(ctx, p.host, message.ListedTopic, p.list())
+	}
+}
+
+func (p *platform) list() message.Listed {
+	var l message.Listed
+	for _, pool := range p.fleet.Pools {
+		for _, i := range pool.Instances {
+			if !p.down[i.ID] {
+				l.Instances = append(l.Instances, message.Listing{ID: i.ID, Zone: i.Zone, Rack: i.Rack, State: "live"})
+			}
+		}
+	}
+	return l
+}
+
+func (p *platform) Read(_ context.Context, key string) (record.Record, int64, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	r, ok := p.records[key]
+	if !ok {
+		return nil, 0, message.ErrNotFound
+	}
+	return r.Record, r.Revision, nil
+}
+
+func (p *platform) List(_ context.Context, prefix string) ([]message.Changed, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var found []message.Changed
+	for key, r := range p.records {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, r)
+		}
+	}
+	return found, nil
+}
+
+func (p *platform) Owns(string) (uint64, time.Time, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return 1, time.Now().Add(time.Minute), p.owns
+}
+
+func (*platform) InFlight(string) int { return 0 }
+
+// current is the platform of the running test, for the stub plug-in.
+var current *platform
+
+func init() {
+	kernel.Register("stub", struct{}{}, func(h *kernel.Host, _ struct{}) ([]kernel.Duty, error) {
+		current.host = h
+		kernel.Provide[message.Store](h, current)
+		kernel.Provide[message.Ownership](h, current)
+		kernel.Provide[message.Load](h, current)
+		return nil, nil
+	})
+}
+
+func newPlatform(instances int) *platform {
+	pool := fleet.Pool{Name: "calendar"}
+	for n := range instances {
+		pool.Instances = append(pool.Instances, fleet.Instance{ID: fmt.Sprintf("cal-%d", n), Zone: "a", Rack: fmt.Sprint(n)})
+	}
+	return &platform{
+		records: map[string]message.Changed{},
+		down:    map[string]bool{},
+		owns:    true,
+		fleet: fleet.Fleet{
+			Version: 1, Pools: []fleet.Pool{pool},
+			Services: []fleet.Service{{Name: "flag-calendar", Pool: pool.Name, Budget: fleet.Budget{
+				Available: instances - 2, Domain: fleet.DomainRack,
+			}}},
+		},
+	}
+}
+
+// launch runs the plug-in until the test ends.
+func launch(c *qt.C, p *platform) *kernel.Kernel {
+	current = p
+	s, err := kernel.ParseSettings([]byte(`{"name":"e1","plugins":{"stub":{},"` + plan.Name + `":{"grace":"1ms","poll":"5ms"}}}`))
+	c.Assert(err, qt.IsNil)
+	k, err := kernel.New(s, slog.New(slog.DiscardHandler))
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- k.Run(ctx) }()
+	c.Cleanup(func() {
+		cancel()
+		c.Assert(<-done, qt.IsNil)
+	})
+	c.Assert(kernel.Publish(ctx, k.Host(), message.ConfiguredTopic, message.Configured{Fleet: p.fleet}), qt.IsNil)
+	c.Assert(kernel.Publish(ctx, k.Host(), message.ListedTopic, p.list()), qt.IsNil)
+	return k
+}
+
+// eventually waits until the condition holds.
+func eventually(c *qt.C, condition func() bool) {
+	c.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !condition() {
+		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("condition does not hold in time"))
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (p *platform) phase(id string) record.WavePhase {
+	r, _, err := p.Read(context.Background(), record.Wave{ID: id}.Key())
+	if err != nil {
+		return ""
+	}
+	return r.(record.Wave).Phase
+}
+
+// Guards against a planner that stalls on lost answers, or ends a wave before every instance came back.
+func TestWaveRunsThroughPlugin(t *testing.T) {
+	c := qt.New(t)
+	leaks := goleak.IgnoreCurrent()
+	c.Cleanup(func() { goleak.VerifyNone(t, leaks) })
+	p := newPlatform(5)
+	p.lose = 7
+	k := launch(c, p)
+	_, err := p.Swap(context.Background(), message.Write{Record: record.Wave{ID: "w1", Phase: record.Running}})
+	c.Assert(err, qt.IsNil)
+	eventually(c, func() bool { return p.phase("w1") == record.Done })
+	records, err := p.List(context.Background(), record.PrefixInstance)
+	c.Assert(err, qt.IsNil)
+	c.Assert(records, qt.HasLen, 5)
+	for _, r := range records {
+		c.Assert(r.Record.(record.Instance).State, qt.Equals, record.Serving)
+		c.Assert(r.Record.(record.Instance).Wave, qt.Equals, "w1")
+	}
+	dump, err := json.Marshal(k.Host().State()[plan.Name])
+	c.Assert(err, qt.IsNil)
+	var report wave.Report
+	c.Assert(json.Unmarshal(dump, &report), qt.IsNil)
+	c.Assert(report.Epoch, qt.Equals, uint64(1))
+	c.Assert(report.Waves, qt.HasLen, 1)
+}
+
+// Guards against an entry instance that plans without owning the planner's name.
+func TestNoWritesWithoutOwnership(t *testing.T) {
+	c := qt.New(t)
+	leaks := goleak.IgnoreCurrent()
+	c.Cleanup(func() { goleak.VerifyNone(t, leaks) })
+	p := newPlatform(5)
+	p.owns = false
+	k := launch(c, p)
+	_, err := p.Swap(context.Background(), message.Write{Record: record.Wave{ID: "w1", Phase: record.Running}})
+	c.Assert(err, qt.IsNil)
+	shown := func() wave.Report { return k.Host().State()[plan.Name].(wave.Report) }
+	eventually(c, func() bool { return len(shown().Waves) == 1 })
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	c.Assert(p.writes, qt.Equals, 1)
+}
--- a/internal/link/plan/planner.go
+++ b/internal/link/plan/planner.go
@@ -93,7 +93,8 @@
 	if p.state.Epoch() > 0 && !now.Before(p.polled.Add(p.settings.Poll.Value())) {
 		p.countFlights(now)
 	}
-	p.meters.steps.Time(func() { p.step(wave.Time{Now: now}) })
+	p.step(wave.Time{Now: now})
+	p.meters.steps.Update(time.Since(now).Microseconds())
 	p.show()
 }
 
@@ -145,7 +146,8 @@
 func (p *planner) pass(e wave.Effect) wave.Message {
 	switch e := e.(type) {
 	case wave.Notice:
-		p.host.Log.LogAttrs(context.Background(), e.Level, e.Text, append(attributes(e.Attrs), slog.String("event", e.Event))...)
+		p.host.Log.LogAttrs(context.Background(), e.Level, "planner notice",
+			append([]slog.Attr{slog.String("event", e.Event), slog.String("text", e.Text)}, attributes(e.Attrs)...)...)
 		return nil
 	case wave.Write, wave.Read, wave.Load:
 		if err := p.calls.Push(context.Background(), call{effect: e}); err != nil {
@@ -177,9 +179,6 @@
 // pause returns how long nothing has to be decided.
 func (p *planner) pause(now time.Time) time.Duration {
 	next := now.Add(longestPause)
-	if p.state.Epoch() == 0 {
-		return longestPause
-	}
 	sooner := func(t time.Time) {
 		if t.Before(next) {
 			next = t
@@ -188,7 +187,7 @@
 	if w := p.state.Wake(); !w.IsZero() {
 		sooner(w)
 	}
-	if len(p.state.Draining()) > 0 {
+	if p.state.Epoch() > 0 && len(p.state.Draining()) > 0 {
 		sooner(now.Add(p.settings.Poll.Value()))
 	}
 	return max(next.Sub(now), time.Millisecond)
--- a/internal/link/plan/settings.go
+++ b/internal/link/plan/settings.go
@@ -12,6 +12,7 @@
 
 // Settings of the plug-in.
 type Settings struct {
+	Grace  kernel.Duration `json:"grace"`  // shortest drain
 	Drain  kernel.Duration `json:"drain"`  // limit after which a drain waits for the operator
 	Reboot kernel.Duration `json:"reboot"` // limit after which an instance has failed to come back
 	Settle kernel.Duration `json:"settle"` // longest lag of the instance list
@@ -22,6 +23,7 @@
 
 // Defaults are the settings unless the section says otherwise.
 var Defaults = Settings{
+	Grace:  kernel.Duration(wave.Defaults().Grace),
 	Drain:  kernel.Duration(wave.Defaults().DrainLimit),
 	Reboot: kernel.Duration(wave.Defaults().ReturnLimit),
 	Settle: kernel.Duration(wave.Defaults().Settle),
@@ -32,6 +34,7 @@
 
 func (s Settings) wave() wave.Settings {
 	w := wave.Defaults()
+	w.Grace = s.Grace.Value()
 	w.DrainLimit = s.Drain.Value()
 	w.ReturnLimit = s.Reboot.Value()
 	w.Settle = s.Settle.Value()
