--- a/cmd/teaselloft/main.go
+++ b/cmd/teaselloft/main.go
@@ -8,6 +8,7 @@
 
 	_ "teaselloft/internal/command/config"
 	_ "teaselloft/internal/command/process"
+	_ "teaselloft/internal/link/platform"
 )
 
 func main() {
