--- a/internal/decision/wave/step.go
+++ b/internal/decision/wave/step.go
@@ -20,6 +20,10 @@
 		return load(s, m), nil
 	case Listed:
 		return list(s.WithNow(m.Now), m), nil
+	case Confirmed:
+		s = s.WithNow(m.Now)
+		s.listedAt, s.confirms = m.Now, true
+		return s, nil
 	case Flights:
 		return fly(s.WithNow(m.Now), m), nil
 	case Written:
@@ -126,7 +130,8 @@
 	s.listedAt = m.Now
 	for itr := s.instances.Iterator(); !itr.Done(); {
 		id, k, _ := itr.Next()
-		if out := k.Record.State == record.Rebooting || k.Record.State == record.Out; out && !s.Live(id) {
+		// A draining instance counts too: the write that lets it reboot may not be confirmed yet.
+		if k.Record.State != record.Serving && !s.Live(id) {
 			s.gone = s.gone.Set(id, m.Now)
 		}
 	}
