--- /dev/null
+++ b/internal/core/listen/server.go
@@ -0,0 +1,88 @@
+package listen
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+
+	"golang.org/x/net/netutil"
+)
+
+// Server is an HTTP/1.1 listener with limits.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+// Open binds the address; connections wait in the kernel's backlog until Run accepts them.
+func Open(s Settings, handler http.Handler, log *slog.Logger) (*Server, error) {
+	if s.Address == "" {
+		return nil, errors.New("listener has no address")
+	}
+	keeper, err := NewKeeper(s.TLS, log)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", s.Address) //nolint:noctx // binding an IP address does not wait
+	if err != nil {
+		return nil, fmt.Errorf("listen on %q: %w", s.Address, err)
+	}
+	address := listener.Addr()
+	if s.Limits.Connections > 0 {
+		listener = netutil.LimitListener(listener, s.Limits.Connections)
+	}
+	if keeper != nil {
+		listener = tls.NewListener(listener, keeper.Server())
+	}
+	log.Info("listening", "event", "listen", "address", address.String(), "tls", keeper != nil)
+	return &Server{listener: listener, http: &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: s.Timeouts.Header.Value(),
+		IdleTimeout:       s.Timeouts.Idle.Value(),
+		// The handler refuses headers over the limit itself, with the full answer; this is the harder bound behind it.
+		MaxHeaderBytes: 2 * s.Limits.Header,
+		Protocols:      onlyHTTP1(),
+		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}}, nil
+}
+
+func onlyHTTP1() *http.Protocols {
+	p := &http.Protocols{}
+	p.SetHTTP1(true)
+	return p
+}
+
+// Address returns the bound address.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Run accepts connections until ctx ends; after Drain it only waits for ctx, since the process stops when a duty returns.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	defer stop()
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve on %q: %w", s.Address(), err)
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// CloseConnections makes every later answer end its connection.
+func (s *Server) CloseConnections() {
+	s.http.SetKeepAlivesEnabled(false)
+}
+
+// Drain stops accepting and waits for the requests in flight.
+func (s *Server) Drain(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+// Close drops the listener and its connections.
+func (s *Server) Close() error {
+	return errors.Join(s.http.Close(), s.listener.Close())
+}
--- a/internal/core/ring/ring.go
+++ b/internal/core/ring/ring.go
@@ -60,6 +60,13 @@
 		g.refused.Inc(1)
 		return fmt.Errorf("push to ring %q: %w", g.name, ErrFull)
 	}
+	return g.PushWait(ctx, v)
+}
+
+// PushWait appends v, waiting for room or the end of the context under any policy.
+//
+// It is for messages that must not be refused, such as the end of work in flight.
+func (g *Ring[T]) PushWait(ctx context.Context, v T) error {
 	select {
 	case g.items <- v:
 		return nil
--- /dev/null
+++ b/internal/link/endpoint/plugin.go
@@ -0,0 +1,115 @@
+package endpoint
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/core/listen"
+	"teaselloft/internal/core/ring"
+	"teaselloft/internal/model/message"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+func init() {
+	kernel.Register(Name, Defaults, build)
+}
+
+func build(h *kernel.Host, s Settings) ([]kernel.Duty, error) {
+	sender, err := New(h, s)
+	if err != nil {
+		return nil, err
+	}
+	updates := ring.New[update]("endpoint.updates", updateCapacity, ring.Block, h.Metrics)
+	follow(h, updates)
+	kernel.Provide[message.Sender](h, sender)
+	h.Dump(Name, func() any { return sender.table.usage() })
+	return []kernel.Duty{{Name: "endpoint.adjust", Run: func(ctx context.Context) error {
+		defer sender.closeIdle()
+		return adjust(ctx, updates, sender.table)
+	}}}, nil
+}
+
+// New returns a sender that reports to the host's metrics.
+func New(h *kernel.Host, s Settings) (*Sender, error) {
+	keeper, err := listen.NewKeeper(s.TLS, h.Log)
+	if err != nil {
+		return nil, err
+	}
+	sender := &Sender{scheme: "http", table: newTable(s.Age.Value(), h.Metrics), counters: newCounters(h.Metrics)}
+	dial := dialer{
+		table:  sender.table,
+		keeper: keeper,
+		dialer: net.Dialer{Timeout: s.Dial.Value()},
+		dials:  metrics.GetOrRegisterCounter("endpoint.dials", h.Metrics),
+		failed: metrics.GetOrRegisterCounter("endpoint.dials.failed", h.Metrics),
+	}
+	if keeper != nil {
+		sender.scheme = "https"
+	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	sender.transport = &http.Transport{
+		Proxy:                  nil,
+		DialContext:            dial.open,
+		DialTLSContext:         dial.open,
+		DisableCompression:     true,
+		MaxIdleConns:           0, // the table bounds them for each executor
+		MaxIdleConnsPerHost:    maxIdle,
+		IdleConnTimeout:        s.Idle.Value(),
+		MaxResponseHeaderBytes: s.Reply,
+		Protocols:              protocols,
+	}
+	return sender, nil
+}
+
+// maxIdle is the transport's own bound; the table's bound is always smaller.
+const maxIdle = 1 << 16
+
+func (s *Sender) closeIdle() {
+	if t, ok := s.transport.(*http.Transport); ok {
+		t.CloseIdleConnections()
+	}
+}
+
+// dialer opens the connections of the transport.
+type dialer struct {
+	table  *table
+	keeper *listen.Keeper
+	dialer net.Dialer
+	dials  metrics.Counter
+	failed metrics.Counter
+}
+
+func (d dialer) open(ctx context.Context, network, address string) (net.Conn, error) {
+	d.dials.Inc(1)
+	c, err := d.connect(ctx, network, address)
+	if err != nil {
+		d.failed.Inc(1)
+		return nil, err
+	}
+	return d.table.add(address, c), nil
+}
+
+func (d dialer) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.dialer.Timeout)
+	defer cancel()
+	raw, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil || d.keeper == nil {
+		return raw, err
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	secure := tls.Client(raw, d.keeper.Client(host))
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return secure, nil
+}
