--- a/internal/core/listen/server.go
+++ b/internal/core/listen/server.go
@@ -12,6 +12,9 @@
 	"golang.org/x/net/netutil"
 )
 
+// headerSlack is how many bytes beyond the limit of a header are read so that its sender gets an answer.
+const headerSlack = 64 << 10
+
 // Server is an HTTP/1.1 listener with limits.
 type Server struct {
 	http     *http.Server
@@ -43,8 +46,8 @@
 		Handler:           handler,
 		ReadHeaderTimeout: s.Timeouts.Header.Value(),
 		IdleTimeout:       s.Timeouts.Idle.Value(),
-		// The handler refuses headers over the limit itself, with the full answer; this is the harder bound behind it.
-		MaxHeaderBytes: 2 * s.Limits.Header,
+		// Handlers refuse headers over the limit with an answer of their own; net/http cuts the connection of larger ones.
+		MaxHeaderBytes: s.Limits.Header + headerSlack,
 		Protocols:      onlyHTTP1(),
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}}, nil
@@ -72,11 +75,6 @@
 	return ctx.Err()
 }
 
-// CloseConnections makes every later answer end its connection.
-func (s *Server) CloseConnections() {
-	s.http.SetKeepAlivesEnabled(false)
-}
-
 // Drain stops accepting and waits for the requests in flight.
 func (s *Server) Drain(ctx context.Context) error {
 	return s.http.Shutdown(ctx)
--- /dev/null
+++ b/internal/link/caller/link.go
@@ -0,0 +1,137 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/core/listen"
+	"teaselloft/internal/core/ring"
+	"teaselloft/internal/model/message"
+
+	"github.com/google/uuid"
+)
+
+func init() {
+	kernel.Register(Name, Defaults, build)
+}
+
+// link is the callers' listener of an entry instance.
+type link struct {
+	settings    Settings
+	host        *kernel.Host
+	log         *slog.Logger
+	route       *ring.Ring[message.Event]
+	sender      message.Sender
+	server      *listen.Server
+	incarnation string // tells requests of two lives of this entry instance apart
+	sequence    atomic.Uint64
+	config      atomic.Uint64
+	configured  atomic.Bool
+	stopping    atomic.Bool
+	meters      meters
+}
+
+func build(h *kernel.Host, s Settings) ([]kernel.Duty, error) {
+	l := &link{
+		settings:    s,
+		host:        h,
+		log:         h.Log.With("plugin", Name),
+		route:       kernel.Open(h, message.RoutePort),
+		incarnation: uuid.NewString(),
+		meters:      newMeters(h.Metrics),
+	}
+	kernel.Subscribe(h, message.ConfiguredTopic, func(_ context.Context, c message.Configured) error {
+		l.config.Store(c.Fleet.Version)
+		l.configured.Store(true)
+		return nil
+	})
+	server, err := listen.Open(s.Listen, l, l.log)
+	if err != nil {
+		return nil, err
+	}
+	l.server = server
+	h.Dump(Name, l.dump)
+	h.OnStop(kernel.PhaseReady, l.leave)
+	h.OnStop(kernel.PhaseDrain, server.Drain)
+	return []kernel.Duty{{Name: "caller.accept", Run: l.accept}}, nil
+}
+
+func (l *link) accept(ctx context.Context) error {
+	sender, ok := kernel.Use[message.Sender](l.host)
+	if !ok {
+		return fmt.Errorf("plug-in %q needs a plug-in that sends requests", Name)
+	}
+	l.sender = sender
+	return l.server.Run(ctx)
+}
+
+// leave turns readiness off and waits until the balancer had time to notice.
+func (l *link) leave(ctx context.Context) error {
+	l.stopping.Store(true)
+	grace := time.NewTimer(l.settings.Grace.Value())
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *link) ready() bool {
+	return l.configured.Load() && !l.stopping.Load()
+}
+
+// dump is the link's section of the state dump.
+func (l *link) dump() any {
+	return struct {
+		Address  string `json:"address"`
+		Ready    bool   `json:"ready"`
+		Stopping bool   `json:"stopping"`
+		Config   uint64 `json:"config"`
+		Requests uint64 `json:"requests"`
+		Open     int64  `json:"open"`
+	}{l.server.Address(), l.ready(), l.stopping.Load(), l.config.Load(), l.sequence.Load(), l.meters.open.Count()}
+}
+
+// ServeHTTP answers one request.
+func (l *link) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.limitWrite(w)
+	if l.stopping.Load() {
+		// Answers end their connections before the listener closes them, so that no request is cut by the stop.
+		w.Header().Set("Connection", "close")
+	}
+	switch r.URL.Path {
+	case "/healthz":
+		probe(w, true)
+	case "/readyz":
+		probe(w, l.ready())
+	default:
+		l.meters.open.Inc(1)
+		defer l.meters.open.Dec(1)
+		l.handle(w, r)
+	}
+}
+
+func probe(w http.ResponseWriter, ok bool) {
+	w.Header().Set("Content-Type", "text/plain")
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte("not ready\n"))
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// limitWrite bounds the time for a caller that reads its answer slowly; the deadline of the last answer would still be set.
+func (l *link) limitWrite(w http.ResponseWriter) {
+	limit := time.Now().Add(l.settings.Listen.Timeouts.Write.Value())
+	if err := http.NewResponseController(w).SetWriteDeadline(limit); err != nil {
+		l.log.Debug("write deadline was not set", "event", "caller.write", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/link/caller/process_test.go
@@ -0,0 +1,248 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/core/ring"
+	_ "teaselloft/internal/link/caller"
+	_ "teaselloft/internal/link/endpoint"
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/message"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// patience bounds every wait of these tests.
+const patience = 20 * time.Second
+
+// router stands in for the routing duty: it answers with the decide function and records what it got.
+type router struct {
+	decide func(request message.Request, attempt int) message.Verdict
+
+	mutex    sync.Mutex
+	finished []message.Finish
+	left     []message.Abandon
+	arrived  []message.Request
+}
+
+var routers sync.Map // by process name
+
+func init() {
+	kernel.Register("router", struct{}{}, func(h *kernel.Host, _ struct{}) ([]kernel.Duty, error) {
+		events := kernel.Open(h, message.RoutePort)
+		r, _ := routers.Load(h.Settings.Name)
+		return []kernel.Duty{{Name: "router", Run: func(ctx context.Context) error {
+			return r.(*router).run(ctx, events)
+		}}}, nil
+	})
+}
+
+func (r *router) run(ctx context.Context, events *ring.Ring[message.Event]) error {
+	type pending struct {
+		arrive  message.Arrive
+		attempt int
+	}
+	open := map[message.ID]*pending{}
+	reply := func(p *pending) error {
+		p.attempt++
+		if v := r.decide(p.arrive.Request, p.attempt); v != nil {
+			return p.arrive.Reply.Push(ctx, v)
+		}
+		return nil
+	}
+	for {
+		e, err := events.Pull(ctx)
+		if err != nil {
+			return err
+		}
+		r.mutex.Lock()
+		switch e := e.(type) {
+		case message.Arrive:
+			r.arrived = append(r.arrived, e.Request)
+			open[e.Request.ID] = &pending{arrive: e}
+			err = reply(open[e.Request.ID])
+		case message.Finish:
+			r.finished = append(r.finished, e)
+			if e.Retry {
+				err = reply(open[e.ID])
+			}
+		case message.Abandon:
+			r.left = append(r.left, e)
+		case message.Changed, message.Configured, message.Linked, message.Listed, message.Received, message.Renewed, message.Written:
+			return fmt.Errorf("the caller link sent %T", e)
+		default:
+			return fmt.Errorf("event %T is not known", e)
+		}
+		r.mutex.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (r *router) finishes() []message.Finish {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]message.Finish(nil), r.finished...)
+}
+
+func (r *router) abandons() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.left)
+}
+
+func (r *router) arrivals() []message.Request {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]message.Request(nil), r.arrived...)
+}
+
+// to returns a decision that sends every request to one address.
+func to(address string) func(message.Request, int) message.Verdict {
+	return func(q message.Request, _ int) message.Verdict {
+		return message.Send{
+			Executor: message.Executor{ID: "e1", Address: address},
+			Service:  "flag-calendar", Correction: "flag-calender>flag-calendar (correction)", Config: 7, Owner: "entry-2",
+		}
+	}
+}
+
+// process is a running entry instance with the caller and endpoint links.
+type process struct {
+	kernel *kernel.Kernel
+	url    string
+	stop   context.CancelFunc
+	done   chan error
+}
+
+func start(t *testing.T, r *router, caller string) *process {
+	t.Helper()
+	c := qt.New(t)
+	routers.Store(t.Name(), r)
+	text := fmt.Sprintf(`{"name":%q,"zone":"a","plugins":{"router":{},"endpoint":{},"caller":%s}}`, t.Name(), caller)
+	s, err := kernel.ParseSettings([]byte(text))
+	c.Assert(err, qt.IsNil)
+	k, err := kernel.New(s, slog.New(slog.DiscardHandler))
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{kernel: k, stop: cancel, done: make(chan error, 1)}
+	go func() { p.done <- k.Run(ctx) }()
+	p.url = "http://" + dump(c, k)["address"].(string)
+	t.Cleanup(func() { p.wait(c) })
+	return p
+}
+
+func dump(c *qt.C, k *kernel.Kernel) map[string]any {
+	data, err := json.Marshal(k.Host().State()["caller"])
+	c.Assert(err, qt.IsNil)
+	var section map[string]any
+	c.Assert(json.Unmarshal(data, &section), qt.IsNil)
+	return section
+}
+
+// wait stops the process and checks that it stopped cleanly.
+func (p *process) wait(c *qt.C) {
+	p.stop()
+	select {
+	case err := <-p.done:
+		p.done <- err
+		c.Assert(err, qt.IsNil)
+	case <-time.After(patience):
+		c.Fatal("process did not stop")
+	}
+}
+
+func (p *process) configure(c *qt.C) {
+	err := kernel.Publish(context.Background(), p.kernel.Host(), message.ConfiguredTopic,
+		message.Configured{Fleet: fleet.Fleet{Version: 7}})
+	c.Assert(err, qt.IsNil)
+}
+
+const plain = `{"listen":{"address":"127.0.0.1:0"},"grace":"0s"}`
+
+// executor is a well-behaved executor that counts what it runs.
+func executor(t *testing.T, handle http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handle)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// rawExecutor runs a connection handler for each connection.
+func rawExecutor(t *testing.T, handle func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.New(t).Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+type result struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// do sends one request on a connection of its own.
+func do(t *testing.T, method, url, body string, header ...string) (result, error) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	qt.New(t).Assert(err, qt.IsNil)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Add(header[i], header[i+1])
+	}
+	r.Close = true
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return result{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, header: resp.Header, body: string(data)}, err
+}
+
+func must(t *testing.T, method, url, body string, header ...string) result {
+	t.Helper()
+	r, err := do(t, method, url, body, header...)
+	qt.New(t).Assert(err, qt.IsNil)
+	return r
+}
+
+// eventually waits for a condition.
+func eventually(c *qt.C, what string, ok func() bool) {
+	c.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			c.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+func routeRing(p *process) *ring.Ring[message.Event] {
+	return kernel.Open(p.kernel.Host(), message.RoutePort)
+}
--- a/internal/link/endpoint/sender.go
+++ b/internal/link/endpoint/sender.go
@@ -83,8 +83,10 @@
 		}
 		return nil, message.NotRun, a.stale, err
 	}
-	if resp.Body == http.NoBody || resp.ContentLength == 0 {
+	if resp.Body == http.NoBody {
+		s.counters.answered.Inc(1)
 		a.finish()
+		return resp, message.Answered, false, nil
 	}
 	resp.Body = &answerBody{ReadCloser: resp.Body, attempt: a, counters: s.counters}
 	return resp, message.Answered, false, nil
