--- a/internal/link/caller/exchange_test.go
+++ b/internal/link/caller/exchange_test.go
@@ -166,7 +166,7 @@
 	eventually(c, "abandon at the deadline", func() bool { return r.abandons() == 1 })
 
 	ctx, cancel := context.WithCancel(context.Background())
-	q, err := http.NewRequestWithContext(ctx, "POST", p.url+"/s", strings.NewReader("body"))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url+"/s", strings.NewReader("body"))
 	c.Assert(err, qt.IsNil)
 	go func() {
 		if resp, err := http.DefaultClient.Do(q); err == nil {
@@ -209,7 +209,7 @@
 	r := &router{decide: chain(sendTo(address))}
 	p := start(t, r, plain)
 	ctx, cancel := context.WithCancel(context.Background())
-	q, err := http.NewRequestWithContext(ctx, "POST", p.url+"/s", strings.NewReader("body"))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url+"/s", strings.NewReader("body"))
 	c.Assert(err, qt.IsNil)
 	left := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/internal/link/entry/cut.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"sync"
+
+	"teaselloft/internal/model/message"
+)
+
+// cuts are the links that a failure test has cut.
+type cuts struct {
+	mutex   sync.RWMutex
+	entries map[string]message.Cut
+}
+
+// Cut replaces the cut towards one entry instance.
+func (c *cuts) Cut(cut message.Cut) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !cut.In && !cut.Out {
+		delete(c.entries, cut.Entry)
+		return
+	}
+	c.entries[cut.Entry] = cut
+}
+
+func (c *cuts) to(entry string) bool {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	return c.entries[entry].Out
+}
+
+func (c *cuts) from(entry string) bool {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	return c.entries[entry].In
+}
