--- a/internal/decision/dispatch/epoch.go
+++ b/internal/decision/dispatch/epoch.go
@@ -157,7 +157,7 @@
 		id:       h.ID,
 		from:     h.ID.Entry,
 		target:   message.Executor{ID: h.Executor},
-		deadline: s.now.Add(h.Left),
+		deadline: s.now.Add(h.Left + s.options.Linger),
 	}
 	if h.Key != "" {
 		g.hash = claimHash(h.Key)
--- a/internal/decision/dispatch/options.go
+++ b/internal/decision/dispatch/options.go
@@ -15,6 +15,7 @@
 	Ejection     time.Duration // first ejection; doubles up to EjectionMost
 	EjectionMost time.Duration
 	Drain        time.Duration // longest life of a grant, after which an unreachable member's grants have ended
+	Linger       time.Duration // how long a grant outlives its request's deadline, while the executor may still run it
 	Retention    time.Duration // how long claims are kept
 	ClaimSize    int           // bytes of a claim value, above which its entries move to a segment
 	Backoff      time.Duration // pause of claim writes after an unavailable platform
@@ -33,7 +34,8 @@
 		Failures:     3,
 		Ejection:     5 * time.Second,
 		EjectionMost: time.Minute,
-		Drain:        30 * time.Second, // the longest Request-Timeout
+		Drain:        60 * time.Second, // the longest Request-Timeout and Linger
+		Linger:       30 * time.Second,
 		Retention:    time.Hour,
 		ClaimSize:    32 << 10,
 		Backoff:      250 * time.Millisecond,
--- a/internal/decision/dispatch/pump.go
+++ b/internal/decision/dispatch/pump.go
@@ -133,7 +133,7 @@
 		from:     t.from,
 		target:   s.executors[i].target,
 		epoch:    s.epoch,
-		deadline: t.request.Deadline,
+		deadline: t.request.Deadline.Add(s.options.Linger),
 		size:     t.size,
 		kind:     t.request.Kind(),
 		hash:     t.hash,
--- a/internal/decision/entry/owner.go
+++ b/internal/decision/entry/owner.go
@@ -144,4 +144,3 @@
 		}
 	}
 }
-
--- a/internal/decision/entry/state.go
+++ b/internal/decision/entry/state.go
@@ -16,27 +16,28 @@
 const (
 	leaseMargin = 200 * time.Millisecond // for clock rates and scheduling, before a lease can expire
 	staticDelay = 3 * time.Second        // after the lease: by then an owner with the platform has seen it expire
-	drainLimit  = 30 * time.Second       // longest request deadline
+	drainLimit  = 60 * time.Second       // longest life of a grant
 )
 
 // State is the immutable state of one entry instance.
 type State struct {
-	self      string
-	zone      string
-	fleet     fleet.Fleet
-	index     correct.Index
-	counts    correct.Counts
-	member    member.State
-	forward   forward.State
-	dispatch  map[string]dispatch.State  // by service that this entry instance owns
-	starting  map[string]epoch           // epochs that wait for their claim to be read
-	clearing  map[string]epoch           // ended epochs whose grants are still in flight
-	cleared   map[string]uint64          // epoch whose grants all came back, by service
-	static    map[string]bool            // services served from static shares
-	instances map[string]record.Instance // by identifier
-	backups   map[message.ID]backup      // grants that owners gave to requests of their own
-	reports   map[string]report          // in-flight requests of services by executor
-	listed    map[string]message.Listing // by identifier; nil before the first list
+	self       string
+	zone       string
+	fleet      fleet.Fleet
+	index      correct.Index
+	counts     correct.Counts
+	member     member.State
+	forward    forward.State
+	dispatch   map[string]dispatch.State  // by service that this entry instance owns
+	starting   map[string]epoch           // epochs that wait for their claim to be read
+	clearing   map[string]epoch           // ended epochs whose grants are still in flight
+	cleared    map[string]uint64          // epoch whose grants all came back, by service
+	unanswered time.Time                  // when the latest keep-alive without an answer was sent
+	static     map[string]bool            // services served from static shares
+	instances  map[string]record.Instance // by identifier
+	backups    map[message.ID]backup      // grants that owners gave to requests of their own
+	reports    map[string]report          // in-flight requests of services by executor
+	listed     map[string]message.Listing // by identifier; nil before the first list
 }
 
 // epoch is what is remembered of an epoch outside its dispatch state.
--- a/internal/decision/entry/static.go
+++ b/internal/decision/entry/static.go
@@ -22,7 +22,9 @@
 // staticAt returns when this entry instance may use its static share of a service, zero for never.
 //
 // By then its own lease has expired where every owner that still has the
-// platform has seen it, and the last epoch's grants have come back.
+// platform has seen it, and the last epoch's grants have come back. A keep-alive
+// sent after that must have failed: a process that was paused has an expired
+// lease too, but the platform may answer it.
 func (s State) staticAt(service string) time.Time {
 	o, ok := s.member.Owner(service)
 	if !ok || !slices.Contains(o.Members, s.self) || s.member.Until().IsZero() {
@@ -38,21 +40,11 @@
 	return at
 }
 
-func (s State) staticWakes() []time.Time {
-	var wakes []time.Time
-	for _, v := range s.fleet.Services {
-		if at := s.staticAt(v.Name); !at.IsZero() && !s.static[v.Name] {
-			wakes = append(wakes, at)
-		}
-	}
-	return wakes
-}
-
 // updateStatic starts or ends the use of static shares.
 func (t *step) updateStatic() {
 	for _, v := range t.fleet.Services {
 		at := t.staticAt(v.Name)
-		allowed := !at.IsZero() && !t.now.Before(at)
+		allowed := !at.IsZero() && !t.unanswered.Before(at)
 		if allowed == t.static[v.Name] {
 			continue
 		}
--- a/internal/decision/entry/step.go
+++ b/internal/decision/entry/step.go
@@ -72,9 +72,6 @@
 			sooner(deadline)
 		}
 	}
-	for _, t := range s.staticWakes() {
-		sooner(t)
-	}
 	return wake
 }
 
@@ -101,6 +98,9 @@
 	case message.Renewed:
 		t.memberStep(member.Renewed{Now: t.now, Until: e.Sent.Add(e.TTL - leaseMargin)})
 		t.updateStatic()
+	case message.Unanswered:
+		t.unanswered = e.Sent
+		t.updateStatic()
 	case message.Inspect:
 		t.inspect(e.Instance)
 	case message.Written:
--- a/internal/decision/entry/world_test.go
+++ b/internal/decision/entry/world_test.go
@@ -121,6 +121,7 @@
 
 func (w *world) send(n *node, f entry.Frame) {
 	to := w.node(f.To)
+	w.note("%s to %s: %T %+v", n.name, f.To, f.Frame, f.Frame)
 	if to == nil || to.dead || w.cut[[2]string{n.name, f.To}] {
 		w.feed(n, message.Linked{Entry: f.To})
 		return
@@ -247,6 +248,7 @@
 // renew answers a node's keep-alive, or registers it again after its lease expired.
 func (w *world) renew(n *node) {
 	if w.down {
+		w.feed(n, message.Unanswered{Sent: w.now})
 		return
 	}
 	if _, ok := w.leases[n.name]; !ok {
--- a/internal/link/entry/meters.go
+++ b/internal/link/entry/meters.go
@@ -9,12 +9,12 @@
 
 // meters are the plug-in's metrics.
 type meters struct {
-	sent, received, bytes           metrics.Counter
-	lost                            metrics.Counter // frames and events that were not delivered
-	cut                             metrics.Counter // frames dropped by a failure test
-	malformed, oversized, unknown   metrics.Counter
-	refused, dials, failed, broken  metrics.Counter
-	unauthorized                    metrics.Counter
+	sent, received, bytes          metrics.Counter
+	lost                           metrics.Counter // frames and events that were not delivered
+	cut                            metrics.Counter // frames dropped by a failure test
+	malformed, oversized, unknown  metrics.Counter
+	refused, dials, failed, broken metrics.Counter
+	unauthorized                   metrics.Counter
 }
 
 func newMeters(r metrics.Registry) meters {
--- a/internal/model/message/event.go
+++ b/internal/model/message/event.go
@@ -80,6 +80,11 @@
 	TTL         time.Duration // granted
 }
 
+// Unanswered reports a keep-alive that the platform did not answer.
+type Unanswered struct {
+	Sent time.Time
+}
+
 // Written reports the end of a write that the routing duty asked for.
 type Written struct {
 	Key      string
@@ -92,6 +97,7 @@
 	Instance string
 }
 
+func (Unanswered) event() {}
 func (Inspect) event()    {}
 func (Arrive) event()     {}
 func (Finish) event()     {}
--- a/internal/model/message/port.go
+++ b/internal/model/message/port.go
@@ -56,6 +56,8 @@
 	ConfirmedTopic = kernel.Topic[Confirmed]{Name: "confirmed"}
 	// RenewedTopic carries each answered keep-alive.
 	RenewedTopic = kernel.Topic[Renewed]{Name: "renewed"}
+	// UnansweredTopic carries each keep-alive that was not answered.
+	UnansweredTopic = kernel.Topic[Unanswered]{Name: "unanswered"}
 )
 
 // Sender sends a request to an executor; the endpoint link provides it.
