Carry grants of earlier epochs over to the next owner

Cause, from generated histories that now count the runs of dead entry instances too: an owner that took its service over again forgot the grants it had given to a paused member, and static shares of unreachable members were computed over the new owner's member list instead of the one they were dealt from. Members now report the grants they gave or know copies of; a report by the request's own entry instance counts more than one by others.

--- a/internal/decision/dispatch/epoch.go
+++ b/internal/decision/dispatch/epoch.go
@@ -13,6 +13,7 @@
 	name     string
 	needed   bool // grants wait for its answer
 	answered bool // to the latest Gather
+	joined   bool // answered a Gather of this epoch, so that its static share is of this epoch
 	up       bool
 	gone     bool
 	gathered uint64 // sequence of the latest Gather
@@ -37,7 +38,8 @@
 	s.writes = 0
 	s.claims = s.claims.WithStart(m.Claim, m.Older, s.now)
 	s.revision = m.Revision
-	s.shared = distinct(append(slices.Clone(m.Shared), m.Self))
+	s.shared = distinct(slices.Clone(m.Shared))
+	s.current = distinct(slices.Clone(m.Current))
 	needed := distinct(append(slices.Clone(m.Members), m.Self))
 	for _, name := range distinct(append(slices.Clone(s.shared), needed...)) {
 		_, found := slices.BinarySearch(needed, name)
@@ -124,6 +126,9 @@
 	from, known := s.member(m.From)
 	listed := make(map[message.ID]bool, len(m.Grants))
 	for _, h := range m.Grants {
+		if h.ID.Entry != m.From && s.refuted(h.ID) {
+			continue
+		}
 		listed[h.ID] = true
 		s = s.hold(h)
 	}
@@ -136,10 +141,21 @@
 		}
 	}
 	from.answered = true
+	from.joined = true
 	from.up = true
 	return s.withMember(from).withReserved(), nil
 }
 
+// refuted says whether a grant that another entry instance reported is not in use: the one that
+// took the request has told its own grants, or asks again because it has not sent the request.
+func (s State) refuted(id message.ID) bool {
+	if _, asked := s.queue.tickets.Get(id); asked {
+		return true
+	}
+	m, known := s.member(id.Entry)
+	return known && m.needed && m.answered
+}
+
 // hold counts a grant in flight; the request is answered by it if it was asked again.
 //
 // It is released by the entry instance that took the request, which need not be
@@ -221,7 +237,11 @@
 		if !m.reserves() {
 			continue
 		}
-		for id, n := range shareCounts(s.executors, s.service.Slots, s.shared, m.name) {
+		members := s.shared
+		if m.joined {
+			members = s.current
+		}
+		for id, n := range shareCounts(s.executors, s.service.Slots, members, m.name) {
 			reserved[id] += n
 		}
 	}
--- a/internal/decision/dispatch/grant.go
+++ b/internal/decision/dispatch/grant.go
@@ -67,13 +67,13 @@
 	return s.byID.Get(id)
 }
 
-// Of returns the member's grants that were given before the sequence.
+// Of returns the member's grants that were given before the sequence or reported by others.
 func (s grants) Of(member string, before uint64) []grant {
 	var found []grant
 	it := s.byID.Iterator()
 	for !it.Done() {
 		_, g, _ := it.Next()
-		if g.from == member && g.sequence < before {
+		if g.from == member && (g.sequence < before || g.epoch == 0) {
 			found = append(found, g)
 		}
 	}
--- a/internal/decision/dispatch/message.go
+++ b/internal/decision/dispatch/message.go
@@ -34,7 +34,8 @@
 	Epoch    uint64
 	Self     string
 	Members  []string         // entry instances to gather from, without Self
-	Shared   []string         // sorted members of the previous owner record, for static shares
+	Shared   []string         // members of the previous owner record, whose static shares are of the previous epoch
+	Current  []string         // members of this epoch's owner record, whose static shares are of this epoch once they answered
 	Claim    record.Claim     // as read from the store, zero when there is none
 	Revision int64            // of the claim key, 0 when there is none
 	Older    []record.Claimed // entries of the claim's segments
--- a/internal/decision/dispatch/outstanding.go
+++ b/internal/decision/dispatch/outstanding.go
@@ -6,14 +6,18 @@
 	"teaselloft/internal/model/message"
 )
 
-// Grants returns the deadlines of the grants in flight.
-func (s State) Grants() map[message.ID]time.Time {
-	deadlines := make(map[message.ID]time.Time, s.grants.byID.Len())
+// Held returns the grants in flight as a later owner needs to know them; the keys are in the claim.
+func (s State) Held(now time.Time) []message.Held {
+	held := make([]message.Held, 0, s.grants.byID.Len())
 	for it := s.grants.byID.Iterator(); !it.Done(); {
 		id, g, _ := it.Next()
-		deadlines[id] = g.deadline
+		held = append(held, message.Held{
+			ID:       id,
+			Executor: g.target.ID,
+			Left:     g.deadline.Add(-s.options.Linger).Sub(now),
+		})
 	}
-	return deadlines
+	return held
 }
 
 // Loads returns the grants in flight on each executor.
--- a/internal/decision/dispatch/state.go
+++ b/internal/decision/dispatch/state.go
@@ -31,7 +31,8 @@
 	started time.Time
 	until   time.Time // of the proof of ownership
 	members []member
-	shared  []string
+	shared  []string // of the previous owner record
+	current []string // of this epoch's owner record
 
 	executors []executor
 	queue     queue
@@ -89,6 +90,7 @@
 	s.phase = idle
 	s.members = nil
 	s.shared = nil
+	s.current = nil
 	s.queue = newQueue()
 	s.grants = newGrants()
 	s.claims = newClaims()
--- a/internal/decision/entry/backup.go
+++ b/internal/decision/entry/backup.go
@@ -62,7 +62,7 @@
 func (t *step) keepBackup(b message.Backup) {
 	kept := make(map[message.ID]backup, len(t.backups)+1)
 	for id, old := range t.backups {
-		if t.now.Before(old.deadline) {
+		if t.now.Before(old.deadline.Add(linger)) {
 			kept[id] = old
 		}
 	}
@@ -70,7 +70,8 @@
 	t.backups = kept
 }
 
-// gathered reports the grants in flight to a new owner, with the copied grants of earlier owners.
+// gathered reports the grants in flight to a new owner, with the copied grants of earlier owners
+// and those that this entry instance gave as an earlier owner.
 func (t *step) gathered(from string, g message.Gather) {
 	t.static = without(t.static, g.Service)
 	t.forwardStep(forward.Gathered{Now: t.now, From: from, Gather: g, Others: t.copies(g)})
@@ -79,11 +80,21 @@
 func (t *step) copies(g message.Gather) []message.Held {
 	var grants []message.Held
 	for _, b := range t.backups {
-		if b.service == g.Service && b.epoch < g.Epoch && t.now.Before(b.deadline) {
-			h := b.grant
-			h.Left = b.deadline.Sub(t.now)
-			grants = append(grants, h)
+		if b.service == g.Service && b.epoch < g.Epoch {
+			grants = append(grants, b.held(t.now))
+		}
+	}
+	for _, b := range t.clearing[g.Service].grants {
+		if b.grant.ID.Entry != t.self {
+			grants = append(grants, b.held(t.now))
 		}
 	}
 	return grants
 }
+
+// held returns the grant with the time left by now, which is negative after the deadline.
+func (b backup) held(now time.Time) message.Held {
+	h := b.grant
+	h.Left = b.deadline.Sub(now)
+	return h
+}
--- a/internal/decision/entry/owner.go
+++ b/internal/decision/entry/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"teaselloft/internal/decision/dispatch"
 	"teaselloft/internal/decision/forward"
@@ -16,8 +17,7 @@
 	if w.Service == message.PlannerService {
 		return
 	}
-	t.starting = with(t.starting, w.Service, epoch{number: w.Epoch, shared: w.Shared})
-	t.clearing = without(t.clearing, w.Service)
+	t.starting = with(t.starting, w.Service, epoch{number: w.Epoch, shared: w.Shared, current: w.Current})
 	t.emit(ReadClaim{Service: w.Service, Epoch: w.Epoch})
 }
 
@@ -43,6 +43,7 @@
 		Self:     t.self,
 		Members:  t.member.Members(),
 		Shared:   e.shared,
+		Current:  e.current,
 		Claim:    m.Claim,
 		Revision: m.Revision,
 		Older:    m.Older,
@@ -63,12 +64,24 @@
 	if !ok {
 		return
 	}
-	t.clearing = with(t.clearing, l.Service, epoch{number: l.Epoch, grants: d.Grants()})
+	t.clearing = with(t.clearing, l.Service, epoch{number: l.Epoch, grants: t.outstanding(l.Service, d)})
 	t.dispatchStep(l.Service, dispatch.Stop{Now: t.now})
 	t.dispatch = without(t.dispatch, l.Service)
 	t.updateClearing()
 }
 
+// outstanding returns the grants of an ending epoch and those of earlier ones that have not come back.
+func (t *step) outstanding(service string, d dispatch.State) map[message.ID]backup {
+	grants := maps.Clone(t.clearing[service].grants)
+	if grants == nil {
+		grants = map[message.ID]backup{}
+	}
+	for _, h := range d.Held(t.now) {
+		grants[h.ID] = backup{service: service, grant: h, deadline: t.now.Add(h.Left)}
+	}
+	return grants
+}
+
 // owned tells the forwarding decision whom to ask.
 func (t *step) owned(o record.Owner) {
 	reachable := o.Entry != ""
@@ -127,8 +140,8 @@
 // updateClearing drops grants past their deadline and announces epochs without grants.
 func (t *step) updateClearing() {
 	for service, e := range t.clearing {
-		for id, deadline := range e.grants {
-			if !t.now.Before(deadline) {
+		for id, b := range e.grants {
+			if !t.now.Before(b.deadline.Add(linger)) {
 				e.grants = without(e.grants, id)
 			}
 		}
--- a/internal/decision/entry/request.go
+++ b/internal/decision/entry/request.go
@@ -112,7 +112,7 @@
 func (t *step) released(from string, f message.Release) {
 	t.dispatchStep(f.Service, dispatch.Release{Now: t.now, From: from, Release: f})
 	e, ok := t.clearing[f.Service]
-	if !ok || e.number != f.Epoch {
+	if !ok {
 		return
 	}
 	e.grants = without(e.grants, f.ID)
--- a/internal/decision/entry/state.go
+++ b/internal/decision/entry/state.go
@@ -16,6 +16,7 @@
 const (
 	leaseMargin = 200 * time.Millisecond // for clock rates and scheduling, before a lease can expire
 	staticDelay = 3 * time.Second        // after the lease: by then an owner with the platform has seen it expire
+	linger      = 30 * time.Second       // how long a grant can outlive its request's deadline
 	drainLimit  = 60 * time.Second       // longest life of a grant
 )
 
@@ -42,9 +43,10 @@
 
 // epoch is what is remembered of an epoch outside its dispatch state.
 type epoch struct {
-	number uint64
-	shared []string
-	grants map[message.ID]time.Time // deadlines of grants in flight
+	number  uint64
+	shared  []string              // members of the previous owner record
+	current []string              // members of this epoch's owner record
+	grants  map[message.ID]backup // in flight
 }
 
 // report is what a service's owner last said about its executors.
--- a/internal/decision/entry/step.go
+++ b/internal/decision/entry/step.go
@@ -68,8 +68,8 @@
 		sooner(d.NextWake())
 	}
 	for _, e := range s.clearing {
-		for _, deadline := range e.grants {
-			sooner(deadline)
+		for _, b := range e.grants {
+			sooner(b.deadline.Add(linger))
 		}
 	}
 	return wake
--- a/internal/decision/entry/world_test.go
+++ b/internal/decision/entry/world_test.go
@@ -327,9 +327,7 @@
 	}
 	used := map[string]int{}
 	for _, r := range w.runs {
-		if !r.node.dead {
-			used[r.executor]++
-		}
+		used[r.executor]++
 	}
 	for id, n := range used {
 		w.busiest = max(w.busiest, n)
--- a/internal/decision/member/message.go
+++ b/internal/decision/member/message.go
@@ -93,6 +93,7 @@
 	Service string
 	Epoch   uint64
 	Shared  []string // members of the previous owner record, sorted
+	Current []string // members of this epoch's owner record, sorted
 }
 
 // Lost ends an epoch.
--- a/internal/decision/member/state.go
+++ b/internal/decision/member/state.go
@@ -51,10 +51,11 @@
 
 // attempt is a takeover or hand-over in progress; nothing else is tried for the service until it ends or retry passes.
 type attempt struct {
-	epoch  uint64
-	phase  phase
-	retry  time.Time
-	shared []string // members of the owner record before the attempt
+	epoch   uint64
+	phase   phase
+	retry   time.Time
+	shared  []string // members of the owner record before the attempt
+	current []string // members of the record that is written
 }
 
 type phase int
--- a/internal/decision/member/step.go
+++ b/internal/decision/member/step.go
@@ -107,13 +107,13 @@
 
 // won begins an epoch if ownership can still be proved.
 func (s State) won(service string, epoch uint64, effects []Effect) (State, []Effect) {
-	shared := s.attempts[service].shared
+	a := s.attempts[service]
 	s = s.withoutAttempt(service)
 	if !s.now.Before(s.until) || s.leaving {
 		return s, effects
 	}
 	s = s.WithHeld(service, epoch)
-	return s, append(effects, Won{Service: service, Epoch: epoch, Shared: shared}, Proved{Until: s.until})
+	return s, append(effects, Won{Service: service, Epoch: epoch, Shared: a.shared, Current: a.current}, Proved{Until: s.until})
 }
 
 // renewed extends the proof; a proof that had lapsed first ends the epochs that relied on it.
@@ -172,7 +172,7 @@
 	if entry != "" {
 		next.Incarnation = s.members[entry].member.Incarnation
 	}
-	s = s.withAttempt(service, attempt{epoch: epoch, phase: writing, shared: last.owner.Members})
+	s = s.withAttempt(service, attempt{epoch: epoch, phase: writing, shared: last.owner.Members, current: next.Members})
 	return s, []Effect{Write{Owner: next, Expected: last.revision}}
 }
 
