Send keep-alives without waiting for the answers of earlier ones

In a trial with 8 entry instances and a platform that answered after 1.5 s every entry instance lost its lease, although the time to live is 2 s: a keep-alive waited for the one before and gave up after 1 s.

--- a/internal/decision/lease/message.go
+++ b/internal/decision/lease/message.go
@@ -10,6 +10,9 @@
 // Begin starts with a first incarnation.
 type Begin struct{ Incarnation string }
 
+// Due says that the last Wait or Pause has passed.
+type Due struct{}
+
 // Granted brings a new lease.
 type Granted struct {
 	ID   int64
@@ -19,6 +22,7 @@
 
 // Renewed says that a keep-alive was answered.
 type Renewed struct {
+	ID   int64
 	Sent time.Time
 	TTL  time.Duration
 }
@@ -26,11 +30,14 @@
 // Registered says that the member key is bound to a lease.
 type Registered struct{ ID int64 }
 
-// Gone says that the lease does not exist any more; the incarnation is a fresh one.
-type Gone struct{ Incarnation string }
+// Gone says that a lease does not exist any more; the incarnation is a fresh one.
+type Gone struct {
+	ID          int64
+	Incarnation string
+}
 
-// Failed says that the last call got no answer.
-type Failed struct{}
+// Failed says that a keep-alive, or for ID 0 a grant, got no answer.
+type Failed struct{ ID int64 }
 
 // Stop ends the lease.
 type Stop struct{}
@@ -39,6 +46,7 @@
 type Revoked struct{}
 
 func (Begin) message()      {}
+func (Due) message()        {}
 func (Granted) message()    {}
 func (Renewed) message()    {}
 func (Registered) message() {}
@@ -55,7 +63,7 @@
 // Grant asks for a lease.
 type Grant struct{}
 
-// Renew sends a keep-alive, as soon as its interval has passed.
+// Renew sends a keep-alive; its answer may come after that of a later one.
 type Renew struct{ ID int64 }
 
 // Register binds the member key of an incarnation to a lease.
@@ -71,7 +79,10 @@
 	TTL         time.Duration
 }
 
-// Pause waits before the next effect, longer after each failure.
+// Wait asks for Due after the interval between keep-alives.
+type Wait struct{}
+
+// Pause asks for Due after a time that is longer after each failure.
 type Pause struct{}
 
 // Revoke ends a lease.
@@ -84,6 +95,7 @@
 func (Renew) effect()    {}
 func (Register) effect() {}
 func (Publish) effect()  {}
+func (Wait) effect()     {}
 func (Pause) effect()    {}
 func (Revoke) effect()   {}
 func (Finish) effect()   {}
--- a/internal/link/platform/fault_test.go
+++ b/internal/link/platform/fault_test.go
@@ -58,6 +58,22 @@
 	r.c.Assert(seen.has(isMember("outage", true)), qt.IsTrue)
 }
 
+// Guards against proofs that come no more often than a slow platform answers, which would leave gaps in ownership.
+func TestSlowPlatform(t *testing.T) {
+	r := newRig(t)
+	p, seen := r.entryWith("slow", `,"ttl":20000,"timeout":20000`)
+	await(r.c, "entry is renewed", func() bool { return seen.renewals() > 0 })
+	r.control(`{"slow":2000}`)
+	before := seen.renewals()
+	await(r.c, "slow keep-alives are answered", func() bool { return seen.renewals() > before+6 })
+	seen.Lock()
+	last := seen.renewed[len(seen.renewed)-3:]
+	seen.Unlock()
+	r.c.Assert(last[2].Sent.Sub(last[0].Sent) < 3*time.Second, qt.IsTrue) // 4 s if each waited for the one before
+	lost := p.host.Metrics.Get("platform.lost").(interface{ Count() int64 })
+	r.c.Assert(lost.Count(), qt.Equals, int64(0))
+}
+
 // Guards against a broken watch that loses changes or deletions, with and without a compaction.
 func TestBrokenWatch(t *testing.T) {
 	for _, compact := range []bool{false, true} {
--- a/internal/link/platform/lease.go
+++ b/internal/link/platform/lease.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"errors"
 	"fmt"
 	"log/slog"
 	"time"
@@ -12,7 +10,6 @@
 	"teaselloft/internal/core/ring"
 	"teaselloft/internal/decision/lease"
 	"teaselloft/internal/model/message"
-	"teaselloft/internal/protocol/etcd"
 
 	"github.com/cenkalti/backoff/v5"
 )
@@ -23,26 +20,26 @@
 	done    *ring.Ring[struct{}]
 }
 
-// The rings between the lease duty and the member duty.
+// The rings between the lease duty, the duties that call the store for it, and the member duty.
 var (
 	leasePort  = kernel.Port[leaseCall]{Name: "platform.lease", Capacity: 16, Policy: ring.Block}
+	callPort   = kernel.Port[lease.Effect]{Name: "platform.call", Capacity: 8, Policy: ring.Block}
 	memberPort = kernel.Port[memberCall]{Name: "platform.member", Capacity: 64, Policy: ring.Block}
 )
 
-// leaseDuty keeps the entry instance's lease alive.
+// leaseDuty decides on the entry instance's lease; it never waits for the store.
 type leaseDuty struct {
 	host   *kernel.Host
 	store  *Store
 	log    *slog.Logger
 	calls  *ring.Ring[leaseCall]
+	out    *ring.Ring[lease.Effect]
 	member *ring.Ring[memberCall]
 	first  string // incarnation
-	ttl    time.Duration
 	renew  time.Duration
 
 	state  lease.State
-	queue  []lease.Effect
-	sent   time.Time // of the last call
+	timer  *time.Timer
 	pauses *backoff.ExponentialBackOff
 	done   *ring.Ring[struct{}]
 }
@@ -53,9 +50,9 @@
 		store:  store,
 		log:    h.Log,
 		calls:  kernel.Open(h, leasePort),
+		out:    kernel.Open(h, callPort),
 		member: kernel.Open(h, memberPort),
 		first:  self.Self().Incarnation,
-		ttl:    ms(s.TTL),
 		renew:  ms(s.Renew),
 		pauses: newBackoff(),
 	}
@@ -71,57 +68,80 @@
 	return err
 }
 
-// run carries out one effect after the other until ctx ends.
+// run steps one message after the other until ctx ends.
 func (d *leaseDuty) run(ctx context.Context) error {
-	d.step(lease.Begin{Incarnation: d.first})
+	d.timer = time.NewTimer(d.renew)
+	defer d.timer.Stop()
+	if err := d.step(ctx, lease.Begin{Incarnation: d.first}); err != nil {
+		return err
+	}
 	for {
-		if len(d.queue) == 0 {
-			c, err := d.calls.Pull(ctx)
-			if err != nil {
-				return ctx.Err()
-			}
-			d.receive(c)
-			continue
+		var err error
+		select {
+		case c := <-d.calls.Items():
+			err = d.receive(ctx, c)
+		case <-d.timer.C:
+			err = d.step(ctx, lease.Due{})
+		case <-ctx.Done():
+			return ctx.Err()
 		}
-		e := d.queue[0]
-		d.queue = d.queue[1:]
-		if err := d.do(ctx, e); err != nil {
+		if err != nil {
 			return err
 		}
 	}
 }
 
-func (d *leaseDuty) step(m lease.Message) {
-	state, effects := lease.Step(d.state, m)
-	d.state = state
-	d.queue = append(d.queue, effects...)
+// receive notes what a message means for pauses, logs and writes before it is stepped.
+func (d *leaseDuty) receive(ctx context.Context, c leaseCall) error {
+	switch m := c.message.(type) {
+	case lease.Granted:
+		d.pauses.Reset()
+		d.log.Info("lease granted", "event", "lease.granted", "incarnation", d.state.Incarnation(), "ttl", m.TTL)
+	case lease.Renewed:
+		d.pauses.Reset()
+	case lease.Gone:
+		if m.ID == d.state.ID() {
+			d.store.lease.Store(0)
+			d.store.counters.lost.Inc(1)
+			d.log.Warn("lease lost", "event", "lease.lost", "incarnation", d.state.Incarnation())
+		}
+	case lease.Stop:
+		d.done = c.done
+	case lease.Begin, lease.Due, lease.Registered, lease.Failed, lease.Revoked:
+	default:
+		panic(fmt.Sprintf("platform: unknown message %T", m))
+	}
+	return d.step(ctx, c.message)
 }
 
-// receive steps a message of another goroutine; a stop overtakes everything that is still to be done.
-func (d *leaseDuty) receive(c leaseCall) {
-	if _, ok := c.message.(lease.Stop); ok {
-		d.queue = nil
-		d.done = c.done
+func (d *leaseDuty) step(ctx context.Context, m lease.Message) error {
+	state, effects := lease.Step(d.state, m)
+	d.state = state
+	for _, e := range effects {
+		if err := d.do(ctx, e); err != nil {
+			return err
+		}
 	}
-	d.step(c.message)
+	return nil
 }
 
 // do carries out an effect.
 func (d *leaseDuty) do(ctx context.Context, e lease.Effect) error {
 	switch e := e.(type) {
-	case lease.Grant:
-		d.grant(ctx)
-	case lease.Renew:
-		return d.wait(ctx, time.Until(d.sent.Add(d.renew)), func() { d.keepAlive(ctx, e.ID) })
+	case lease.Grant, lease.Renew:
+		return d.out.Push(ctx, e)
+	case lease.Revoke:
+		d.store.lease.Store(0)
+		return d.out.Push(ctx, e)
 	case lease.Register:
 		d.store.lease.Store(e.ID)
-		return d.member.Push(ctx, memberCall(bind{lease: e.ID, incarnation: e.Incarnation}))
+		return d.member.Push(ctx, bind{lease: e.ID, incarnation: e.Incarnation})
 	case lease.Publish:
 		d.publish(ctx, e)
+	case lease.Wait:
+		d.timer.Reset(d.renew)
 	case lease.Pause:
-		return d.wait(ctx, d.pauses.NextBackOff(), nil)
-	case lease.Revoke:
-		d.revoke(ctx, e.ID)
+		d.timer.Reset(d.pauses.NextBackOff())
 	case lease.Finish:
 		return d.done.Push(ctx, struct{}{})
 	default:
@@ -130,63 +150,6 @@
 	return nil
 }
 
-// wait receives calls for a time and then goes on with next, unless a call changed what is to be done.
-func (d *leaseDuty) wait(ctx context.Context, length time.Duration, next func()) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-			if next != nil {
-				next()
-			}
-			return nil
-		case c := <-d.calls.Items():
-			d.receive(c)
-			if d.done != nil {
-				return nil
-			}
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-func (d *leaseDuty) grant(ctx context.Context) {
-	d.sent = time.Now()
-	id, ttl, err := d.store.client.Grant(ctx, d.ttl)
-	if err != nil {
-		d.fail(err)
-		return
-	}
-	d.pauses.Reset()
-	d.log.Info("lease granted", "event", "lease.granted", "incarnation", d.state.Incarnation(), "ttl", ttl)
-	d.step(lease.Granted{ID: id, Sent: d.sent, TTL: ttl})
-}
-
-func (d *leaseDuty) keepAlive(ctx context.Context, id int64) {
-	d.sent = time.Now()
-	ttl, err := d.store.client.KeepAlive(ctx, id)
-	switch {
-	case err == nil:
-		d.pauses.Reset()
-		d.step(lease.Renewed{Sent: d.sent, TTL: ttl})
-	case errors.Is(err, etcd.ErrLease):
-		d.store.lease.Store(0)
-		d.store.counters.lost.Inc(1)
-		d.log.Warn("lease lost", "event", "lease.lost", "incarnation", d.state.Incarnation())
-		d.step(lease.Gone{Incarnation: rand.Text()})
-	default:
-		d.fail(err)
-	}
-}
-
-func (d *leaseDuty) fail(err error) {
-	d.store.counters.failed.Inc(1)
-	d.log.Debug("lease call failed", "event", "lease.failed", "error", err)
-	d.step(lease.Failed{})
-}
-
 // publish hands the proof on; a subscriber that cannot take it keeps the earlier proof, which ends sooner.
 func (d *leaseDuty) publish(ctx context.Context, p lease.Publish) {
 	m := message.Renewed{Incarnation: p.Incarnation, Sent: p.Sent, TTL: p.TTL}
@@ -194,11 +157,3 @@
 		d.log.Warn("renewal not delivered", "event", "lease.undelivered", "error", err)
 	}
 }
-
-func (d *leaseDuty) revoke(ctx context.Context, id int64) {
-	d.store.lease.Store(0)
-	if err := d.store.client.Revoke(ctx, id); err != nil {
-		d.log.Warn("lease not revoked", "event", "lease.kept", "error", err)
-	}
-	d.step(lease.Revoked{})
-}
--- a/internal/link/platform/link_test.go
+++ b/internal/link/platform/link_test.go
@@ -98,7 +98,12 @@
 }
 
 func (r rig) entry(name string) (process, *events) {
-	p := start(r.c, name, fmt.Sprintf(`{"recorder":{},"platform":{"addresses":[%q],"entry":"127.0.0.1:1"}}`, r.address))
+	return r.entryWith(name, "")
+}
+
+// entryWith adds fields to the settings of the platform plug-in.
+func (r rig) entryWith(name, fields string) (process, *events) {
+	p := start(r.c, name, fmt.Sprintf(`{"recorder":{},"platform":{"addresses":[%q],"entry":"127.0.0.1:1","resolve":500%s}}`, r.address, fields))
 	e, _ := recorders.Load(name)
 	return p, e.(*events)
 }
--- a/internal/link/platform/plugin.go
+++ b/internal/link/platform/plugin.go
@@ -14,8 +14,8 @@
 
 // Defaults of the settings, in ms.
 const (
-	DefaultTimeout = 1000
-	DefaultResolve = 3000
+	DefaultTimeout = 2000 // the lease's time to live: a keep-alive answered later proves nothing
+	DefaultResolve = 5000 // leaves half of a request's default 10 s to run it
 	DefaultTTL     = 2000
 	DefaultRenew   = 500
 	DefaultPoll    = 1000
@@ -78,6 +78,10 @@
 		{Name: "platform.watch", Run: follow.run},
 		{Name: "platform.list", Run: newListDuty(h, list, ms(s.Poll)).run},
 	}
+	for i := range callers {
+		name := fmt.Sprintf("platform.call.%d", i)
+		duties = append(duties, kernel.Duty{Name: name, Run: newCallDuty(h, store, s).run})
+	}
 	for i := range writers {
 		name := fmt.Sprintf("platform.write.%d", i)
 		duties = append(duties, kernel.Duty{Name: name, Run: newWriteDuty(h, store).run})
