--- a/Makefile
+++ b/Makefile
@@ -15,3 +15,6 @@
 
 test: lint build
 	go test -race ./...
+
+run: build
+	ENTRIES=$(ENTRIES) scripts/run.sh
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,6 +6,7 @@
 
 	"teaselloft/internal/core/command"
 
+	_ "teaselloft/internal/command/layout"
 	_ "teaselloft/internal/command/process"
 	_ "teaselloft/internal/standin/endpoint"
 	_ "teaselloft/internal/standin/platform"
--- a/internal/link/platform/member.go
+++ b/internal/link/platform/member.go
@@ -33,6 +33,10 @@
 	since   time.Time
 }
 
+// leaving says that the entry instance stops and takes over no service.
+type leaving struct{}
+
+func (leaving) memberCall()    {}
 func (bind) memberCall()       {}
 func (configured) memberCall() {}
 
@@ -63,6 +67,7 @@
 	kernel.Subscribe(h, message.ConfiguredTopic, func(ctx context.Context, c message.Configured) error {
 		return d.calls.Push(ctx, configured{version: c.Fleet.Version, since: time.Now()})
 	})
+	h.OnStop(kernel.PhaseReady, func(ctx context.Context) error { return d.calls.Push(ctx, leaving{}) })
 	return d
 }
 
@@ -97,6 +102,8 @@
 			return
 		}
 		m = m.WithConfig(c.version, c.since)
+	case leaving:
+		m.Leaving = true
 	default:
 		panic(fmt.Sprintf("platform: unknown member call %T", c))
 	}
--- a/internal/standin/platform/plugin.go
+++ b/internal/standin/platform/plugin.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/model/message"
 )
 
 // Defaults of the settings.
@@ -32,6 +33,8 @@
 	Lag      int    `json:"lag"`      // ms that the instance list lags behind
 	Progress int    `json:"progress"` // ms between the progress messages of a watch
 	History  int    `json:"history"`  // events kept for watches
+	// Instances are on the list until a heartbeat changes them.
+	Instances []message.Listing `json:"instances"`
 }
 
 // Address tells where a stand-in listens.
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"teaselloft/internal/core/ring"
+	"teaselloft/internal/model/message"
 	"teaselloft/internal/standin/keyvalue"
 	"teaselloft/internal/standin/roster"
 
@@ -37,7 +38,7 @@
 	return &store{
 		calls:    calls,
 		state:    keyvalue.New(s.History),
-		roster:   roster.New(time.Duration(s.Lag) * time.Millisecond),
+		roster:   withInstances(roster.New(time.Duration(s.Lag)*time.Millisecond), s.Instances),
 		writes:   limiter(s.Writes),
 		reads:    limiter(s.Reads),
 		sinks:    map[uint64]open{},
@@ -46,6 +47,14 @@
 	}
 }
 
+// permanent is the time to live of the instances that the settings list.
+const permanent = 10 * 365 * 24 * time.Hour
+
+func withInstances(r roster.State, instances []message.Listing) roster.State {
+	r, _ = roster.Step(r, roster.Heartbeat{Now: time.Now(), TTL: permanent, Instances: instances})
+	return r
+}
+
 // limiter allows bursts of a fifth of a second, since a store queues calls that arrive together.
 func limiter(perSecond int) *rate.Limiter {
 	return rate.NewLimiter(rate.Limit(perSecond), max(perSecond/5, 1))
