--- a/internal/link/endpoint/plugin.go
+++ b/internal/link/endpoint/plugin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 
@@ -97,19 +96,5 @@
 func (d dialer) connect(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.dialer.Timeout)
 	defer cancel()
-	raw, err := d.dialer.DialContext(ctx, network, address)
-	if err != nil || d.keeper == nil {
-		return raw, err
-	}
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		_ = raw.Close()
-		return nil, err
-	}
-	secure := tls.Client(raw, d.keeper.Client(host))
-	if err := secure.HandshakeContext(ctx); err != nil {
-		_ = raw.Close()
-		return nil, err
-	}
-	return secure, nil
+	return listen.Dial(ctx, &d.dialer, d.keeper, network, address)
 }
--- a/internal/link/entry/codec.go
+++ b/internal/link/entry/codec.go
@@ -66,6 +66,8 @@
 	"cleared":  decodeAs[message.Cleared],
 	"fetch":    decodeAs[message.Fetch],
 	"stored":   decodeAs[message.Stored],
+	"inquire":  decodeAs[message.Inquire],
+	"report":   decodeAs[message.Report],
 }
 
 // Encode returns the bytes of a frame sent at the given time; it wraps ErrOversized.
@@ -120,6 +122,10 @@
 		return "fetch", f
 	case message.Stored:
 		return "stored", f
+	case message.Inquire:
+		return "inquire", f
+	case message.Report:
+		return "report", f
 	default:
 		panic(fmt.Sprintf("entry: frame %T has no kind", f))
 	}
