--- a/internal/link/config/duty.go
+++ b/internal/link/config/duty.go
@@ -106,8 +106,8 @@
 		return nil
 	}
 	assembly, err := d.assembly.Assemble(ctx, s, d.wanted)
+	d.assembly = assembly
 	if err == nil {
-		d.assembly = assembly
 		err = d.publish(ctx, assembly.Fleet)
 	}
 	switch {
--- a/internal/settings/store/apply.go
+++ b/internal/settings/store/apply.go
@@ -43,9 +43,10 @@
 // After any other error the change may be in force; Apply with the same ID tells.
 func Apply(ctx context.Context, s Store, c Change) (Applied, error) {
 	var applied Applied
+	var now Assembly // kept between attempts
 	err := retry(ctx, func() error {
 		var err error
-		applied, err = attempt(ctx, s, c)
+		applied, err = attempt(ctx, s, c, &now)
 		return err
 	})
 	if err != nil {
@@ -73,7 +74,7 @@
 }
 
 // attempt applies a change once; a lost answer is recognized by the next attempt.
-func attempt(ctx context.Context, s Store, c Change) (Applied, error) {
+func attempt(ctx context.Context, s Store, c Change, now *Assembly) (Applied, error) {
 	head, revision, err := ReadHead(ctx, s)
 	if err != nil {
 		return Applied{}, err
@@ -81,11 +82,11 @@
 	if head.Version != c.Base {
 		return recognize(ctx, s, head, c)
 	}
-	now, err := current(ctx, s, head)
+	*now, err = now.current(ctx, s, head)
 	if err != nil {
 		return Applied{}, err
 	}
-	p, err := plan(head, now, c)
+	p, err := plan(head, *now, c)
 	if err != nil {
 		return Applied{}, err
 	}
@@ -119,11 +120,11 @@
 // current returns the configuration in force, the zero Assembly when there is none.
 //
 // A damaged one counts as none, so that the next change repairs it with a snapshot.
-func current(ctx context.Context, s Store, head record.Head) (Assembly, error) {
+func (a Assembly) current(ctx context.Context, s Store, head record.Head) (Assembly, error) {
 	if head.Version == 0 {
 		return Assembly{}, nil
 	}
-	a, err := Assembly{}.Assemble(ctx, s, head)
+	a, err := a.Assemble(ctx, s, head)
 	if Damaged(err) {
 		return Assembly{}, nil
 	}
--- a/internal/settings/store/assemble.go
+++ b/internal/settings/store/assemble.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 
 	"teaselloft/internal/model/fleet"
 	"teaselloft/internal/model/record"
-
-	jsonpatch "github.com/evanphx/json-patch/v5"
 )
 
 // Assembly is an assembled configuration, from which a newer one costs only the missing deltas.
@@ -18,12 +15,15 @@
 	Calls    int // reads that this assembly took
 	Bytes    int // read by them
 	key      string
-	document []byte
+	document any // decoded JSON, shared between assemblies and never changed
 }
 
 // Assemble returns the configuration that a head names, starting from an earlier assembly if it can.
 //
-// Its error wraps ErrCorrupt, or the error of the store.
+// Its error wraps ErrCorrupt, or the error of the store. With the latter it
+// returns the part read so far, from which the next call goes on: otherwise a
+// platform that loses every third answer would keep a long chain from ever
+// being read.
 func (a Assembly) Assemble(ctx context.Context, s Store, h record.Head) (Assembly, error) {
 	return a.extend(ctx, s, chainOf(h), h.Version)
 }
@@ -32,21 +32,23 @@
 	a.Calls, a.Bytes = 0, 0
 	missing, known := a.missing(c)
 	if !known {
-		var err error
-		if a, err = readSnapshot(ctx, s, c.Snapshot); err != nil {
-			return Assembly{}, err
+		whole, err := readSnapshot(ctx, s, c.Snapshot)
+		if err != nil {
+			return a, err
 		}
+		a = whole
 	}
 	at, _, _ := parseKey(a.key)
 	for _, key := range missing {
-		var err error
-		if a, err = a.withDelta(ctx, s, key, at+1); err != nil {
-			return Assembly{}, err
+		next, err := a.withDelta(ctx, s, key, at+1)
+		if err != nil {
+			return a, err
 		}
+		a = next
 		at++
 	}
 	if at != version {
-		return Assembly{}, fmt.Errorf("%w: head of version %d leads to version %d", ErrCorrupt, version, at)
+		return a, fmt.Errorf("%w: head of version %d leads to version %d", ErrCorrupt, version, at)
 	}
 	return a.decoded(version)
 }
@@ -77,7 +79,8 @@
 	if err := value.verify(key); err != nil {
 		return Assembly{}, err
 	}
-	return Assembly{key: key, document: value.Document, Calls: 1, Bytes: len(text)}, nil
+	a := Assembly{key: key, Calls: 1, Bytes: len(text)}
+	return a, decode(key, value.Document, &a.document)
 }
 
 // withDelta returns the assembly with the patch of one more version.
@@ -96,11 +99,11 @@
 	if value.Version != version {
 		return Assembly{}, fmt.Errorf("%w: delta %q follows version %d", ErrCorrupt, key, version-1)
 	}
-	merged, err := jsonpatch.MergePatch(a.document, value.Patch)
-	if err != nil {
-		return Assembly{}, fmt.Errorf("%w: delta %q: %w", ErrCorrupt, key, err)
+	var patch any
+	if err := decode(key, value.Patch, &patch); err != nil {
+		return Assembly{}, err
 	}
-	a.key, a.document = key, merged
+	a.key, a.document = key, merge(a.document, patch)
 	a.Calls++
 	a.Bytes += len(text)
 	return a, nil
@@ -108,20 +111,10 @@
 
 // decoded returns the assembly with its fleet.
 func (a Assembly) decoded(version uint64) (Assembly, error) {
-	var d document
-	if err := decode(a.key, a.document, &d); err != nil {
-		return Assembly{}, err
+	d, err := decodeFleet(a.key, a.document)
+	if err != nil {
+		return a, err
 	}
 	a.Fleet = d.fleet(version)
 	return a, nil
 }
-
-// patch returns the merge patch that makes a document from the assembly's, and whether it does so without loss.
-func (a Assembly) patch(to []byte) (json.RawMessage, bool) {
-	patch, err := jsonpatch.CreateMergePatch(a.document, to)
-	if err != nil {
-		return nil, false
-	}
-	merged, err := jsonpatch.MergePatch(a.document, patch)
-	return patch, err == nil && jsonpatch.Equal(merged, to)
-}
--- a/internal/settings/store/diff.go
+++ b/internal/settings/store/diff.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
-	"fmt"
 	"maps"
 	"reflect"
 	"slices"
@@ -20,30 +18,19 @@
 
 // Diff lists the differences between two configurations in order of field; versions and order do not count.
 func Diff(before, after fleet.Fleet) ([]Difference, error) {
-	a, err := generic(before)
+	a, err := newTree(newDocument(before))
 	if err != nil {
 		return nil, err
 	}
-	b, err := generic(after)
+	b, err := newTree(newDocument(after))
 	if err != nil {
 		return nil, err
 	}
-	differences := diffValues("", a, b)
+	differences := diffValues("", a.document, b.document)
 	slices.SortFunc(differences, func(x, y Difference) int { return cmp.Compare(x.Field, y.Field) })
 	return differences, nil
 }
 
-// generic returns the document of a fleet as maps.
-func generic(f fleet.Fleet) (any, error) {
-	text, err := json.Marshal(newDocument(f))
-	if err != nil {
-		return nil, fmt.Errorf("encode configuration: %w", err)
-	}
-	var v any
-	err = json.Unmarshal(text, &v)
-	return v, err
-}
-
 func diffValues(field string, before, after any) []Difference {
 	a, ok := before.(map[string]any)
 	b, also := after.(map[string]any)
--- a/internal/settings/store/document.go
+++ b/internal/settings/store/document.go
@@ -53,6 +53,26 @@
 	}
 }
 
+// consistent reports whether every element has the name that it is stored under.
+func (d document) consistent() bool {
+	ok := named(d.Teams, func(t fleet.Team) string { return t.Name }) &&
+		named(d.Services, func(s fleet.Service) string { return s.Name }) &&
+		named(d.Corrections, func(c fleet.Correction) string { return c.From })
+	for _, p := range d.Pools {
+		ok = ok && named(p.Instances, func(i fleet.Instance) string { return i.ID })
+	}
+	return ok
+}
+
+func named[T any](byKey map[string]T, key func(T) string) bool {
+	for name, v := range byKey {
+		if key(v) != name {
+			return false
+		}
+	}
+	return true
+}
+
 func keyed[T any](list []T, key func(T) string) map[string]T {
 	byKey := make(map[string]T, len(list))
 	for _, v := range list {
--- a/internal/settings/store/history.go
+++ b/internal/settings/store/history.go
@@ -108,17 +108,26 @@
 		return fleet.Fleet{}, err
 	}
 	a, err := Assembly{}.extend(ctx, s, c, version)
-	return a.Fleet, err
+	if err != nil {
+		return fleet.Fleet{}, err
+	}
+	return a.Fleet, nil
 }
 
 // Rollback brings the content of version to into force as a new, higher version.
 func Rollback(ctx context.Context, s Store, to uint64, c Change) (Applied, error) {
+	var old Assembly // kept between attempts
 	err := retry(ctx, func() error {
 		head, _, err := ReadHead(ctx, s)
 		if err != nil {
 			return err
 		}
-		c.Fleet, err = At(ctx, s, head, to)
+		at, err := chainWith(ctx, s, head, to)
+		if err != nil {
+			return err
+		}
+		old, err = old.extend(ctx, s, at, to)
+		c.Fleet = old.Fleet
 		return err
 	})
 	if err != nil {
--- a/internal/settings/store/plan.go
+++ b/internal/settings/store/plan.go
@@ -6,11 +6,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
 
 	"teaselloft/internal/model/message"
 	"teaselloft/internal/model/record"
-
-	jsonpatch "github.com/evanphx/json-patch/v5"
 )
 
 // planned is a value to write and the head that brings it into force.
@@ -23,19 +22,19 @@
 
 // plan returns the writes of a change; it prefers a delta and takes a snapshot after maxDeltas of them.
 func plan(head record.Head, now Assembly, c Change) (planned, error) {
-	text, err := json.Marshal(newDocument(c.Fleet))
+	to, err := newTree(newDocument(c.Fleet))
 	if err != nil {
-		return planned{}, fmt.Errorf("encode configuration: %w", err)
+		return planned{}, err
 	}
-	if now.key != "" && jsonpatch.Equal(now.document, text) {
+	if now.key != "" && reflect.DeepEqual(now.document, to.document) {
 		return planned{applied: Applied{Version: head.Version, Unchanged: true}}, nil
 	}
 	by := stamp{Version: head.Version + 1, Change: c.ID, Author: c.Author, Time: c.Time}
 	p := planned{head: record.Head{Version: by.Version, Change: c.ID, Author: c.Author, Time: c.Time}}
 	p.applied = Applied{Version: by.Version}
-	patch, whole := now.patchOf(head, text)
+	patch, whole := now.patchOf(head, to)
 	if whole {
-		err = p.snapshot(head, by, text)
+		err = p.snapshot(head, by, to.text)
 	} else {
 		err = p.delta(head, by, patch)
 	}
@@ -47,12 +46,12 @@
 }
 
 // patchOf returns the patch to a document, or true when it must be written whole.
-func (a Assembly) patchOf(head record.Head, text []byte) (json.RawMessage, bool) {
+func (a Assembly) patchOf(head record.Head, to tree) (json.RawMessage, bool) {
 	if a.key == "" || len(head.Deltas) >= maxDeltas {
 		return nil, true
 	}
-	patch, ok := a.patch(text)
-	return patch, !ok || len(patch) >= len(text)
+	patch, ok := a.patch(to)
+	return patch, !ok || len(patch) >= len(to.text)
 }
 
 func (p *planned) snapshot(head record.Head, by stamp, text []byte) error {
--- a/internal/standin/memory/store.go
+++ b/internal/standin/memory/store.go
@@ -42,6 +42,7 @@
 	values   map[string]value
 	revision int64
 	inject   func(Call) Fault
+	before   func(Call)
 	watch    func(message.Changed)
 	counters Counters
 }
@@ -57,6 +58,7 @@
 	return &Store{
 		values: map[string]value{},
 		inject: func(Call) Fault { return None },
+		before: func(Call) {},
 		watch:  func(message.Changed) {},
 	}
 }
@@ -68,6 +70,22 @@
 	s.inject = f
 }
 
+// Before runs f before every later call takes effect; f may call the store.
+func (s *Store) Before(f func(Call)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.before = f
+}
+
+// enter locks the store after the hook of Before ran.
+func (s *Store) enter(c Call) {
+	s.mutex.Lock()
+	before := s.before
+	s.mutex.Unlock()
+	before(c)
+	s.mutex.Lock()
+}
+
 // Watch reports every later write of a record, in order; f must not call the store.
 func (s *Store) Watch(f func(message.Changed)) {
 	s.mutex.Lock()
@@ -91,10 +109,11 @@
 
 // Swap writes or deletes a record if its key has the expected revision.
 func (s *Store) Swap(ctx context.Context, w message.Write) (int64, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	key := w.Record.Key()
-	fault, err := s.begin(ctx, Call{Write: true, Key: key})
+	call := Call{Write: true, Key: key}
+	s.enter(call)
+	defer s.mutex.Unlock()
+	fault, err := s.begin(ctx, call)
 	if err != nil {
 		return 0, err
 	}
@@ -126,7 +145,7 @@
 
 // Read returns a record and its revision.
 func (s *Store) Read(ctx context.Context, key string) (record.Record, int64, error) {
-	s.mutex.Lock()
+	s.enter(Call{Key: key})
 	defer s.mutex.Unlock()
 	v, err := s.read(ctx, key)
 	return v.record, v.revision, err
@@ -134,7 +153,7 @@
 
 // ReadRaw returns a value as it was written and its revision.
 func (s *Store) ReadRaw(ctx context.Context, key string) ([]byte, int64, error) {
-	s.mutex.Lock()
+	s.enter(Call{Key: key})
 	defer s.mutex.Unlock()
 	v, err := s.read(ctx, key)
 	return v.raw, v.revision, err
@@ -158,9 +177,10 @@
 
 // WriteRaw creates a key; it wraps ErrConflict if the key has another value.
 func (s *Store) WriteRaw(ctx context.Context, key string, text []byte) error {
-	s.mutex.Lock()
+	call := Call{Write: true, Key: key}
+	s.enter(call)
 	defer s.mutex.Unlock()
-	fault, err := s.begin(ctx, Call{Write: true, Key: key})
+	fault, err := s.begin(ctx, call)
 	if err != nil {
 		return err
 	}
@@ -192,9 +212,10 @@
 
 // List returns the records below a prefix in order of key.
 func (s *Store) List(ctx context.Context, prefix string) ([]message.Changed, error) {
-	s.mutex.Lock()
+	call := Call{Key: prefix}
+	s.enter(call)
 	defer s.mutex.Unlock()
-	fault, err := s.begin(ctx, Call{Key: prefix})
+	fault, err := s.begin(ctx, call)
 	if err != nil {
 		return nil, err
 	}
