--- a/internal/standin/keyvalue/keyvalue_test.go
+++ b/internal/standin/keyvalue/keyvalue_test.go
@@ -89,6 +89,10 @@
 			}
 		}
 		from := rapid.Int64Range(1, s.Revision()+1).Draw(t, "start")
+		probe, _ := step(&s, keyvalue.Watch{ID: 2, Key: "none", Start: 1})
+		if c, ok := probe.(keyvalue.Cancelled); ok && rapid.Bool().Draw(t, "at the boundary") {
+			from = c.Compacted - 1 + rapid.Int64Range(0, 1).Draw(t, "kept")
+		}
 		answer, events := step(&s, keyvalue.Watch{ID: 1, Key: "a/", End: "a0", Start: from})
 		if c, ok := answer.(keyvalue.Cancelled); ok {
 			if from >= c.Compacted {
