--- /dev/null
+++ b/internal/decision/dispatch/outstanding.go
@@ -0,0 +1,30 @@
+package dispatch
+
+import (
+	"time"
+
+	"teaselloft/internal/model/message"
+)
+
+// Held returns the grants in flight as a later owner needs to know them; the keys are in the claim.
+func (s State) Held(now time.Time) []message.Held {
+	held := make([]message.Held, 0, s.grants.byID.Len())
+	for it := s.grants.byID.Iterator(); !it.Done(); {
+		id, g, _ := it.Next()
+		held = append(held, message.Held{
+			ID:       id,
+			Executor: g.target.ID,
+			Left:     g.deadline.Add(-s.options.Linger).Sub(now),
+		})
+	}
+	return held
+}
+
+// Loads returns the grants in flight on each executor.
+func (s State) Loads() map[string]int {
+	loads := make(map[string]int, len(s.executors))
+	for _, e := range s.executors {
+		loads[e.target.ID] = e.used
+	}
+	return loads
+}
--- a/internal/decision/lease/message.go
+++ b/internal/decision/lease/message.go
@@ -37,7 +37,10 @@
 }
 
 // Failed says that a keep-alive, or for ID 0 a grant, got no answer.
-type Failed struct{ ID int64 }
+type Failed struct {
+	ID   int64
+	Sent time.Time
+}
 
 // Stop ends the lease.
 type Stop struct{}
--- a/internal/link/platform/call.go
+++ b/internal/link/platform/call.go
@@ -68,7 +68,7 @@
 	sent := time.Now()
 	id, ttl, err := d.store.client.Grant(ctx, d.ttl)
 	if err != nil {
-		return d.fail(0, err)
+		return d.fail(0, sent, err)
 	}
 	return lease.Granted{ID: id, Sent: sent, TTL: ttl}
 }
@@ -82,7 +82,7 @@
 	case errors.Is(err, etcd.ErrLease):
 		return lease.Gone{ID: id, Incarnation: rand.Text()}
 	default:
-		return d.fail(id, err)
+		return d.fail(id, sent, err)
 	}
 }
 
@@ -93,8 +93,8 @@
 	return lease.Revoked{}
 }
 
-func (d *callDuty) fail(id int64, err error) lease.Message {
+func (d *callDuty) fail(id int64, sent time.Time, err error) lease.Message {
 	d.store.counters.failed.Inc(1)
 	d.log.Debug("lease call failed", "event", "lease.failed", "error", err)
-	return lease.Failed{ID: id}
+	return lease.Failed{ID: id, Sent: sent}
 }
--- a/internal/link/platform/lease.go
+++ b/internal/link/platform/lease.go
@@ -107,7 +107,11 @@
 		}
 	case lease.Stop:
 		d.done = c.done
-	case lease.Begin, lease.Due, lease.Registered, lease.Failed, lease.Revoked:
+	case lease.Failed:
+		if err := kernel.Publish(ctx, d.host, message.UnansweredTopic, message.Unanswered{Sent: m.Sent}); err != nil {
+			d.log.Warn("failure not delivered", "event", "lease.undelivered", "error", err)
+		}
+	case lease.Begin, lease.Due, lease.Registered, lease.Revoked:
 	default:
 		panic(fmt.Sprintf("platform: unknown message %T", m))
 	}
--- a/internal/model/message/event.go
+++ b/internal/model/message/event.go
@@ -80,6 +80,11 @@
 	TTL         time.Duration // granted
 }
 
+// Unanswered reports a keep-alive that the platform did not answer.
+type Unanswered struct {
+	Sent time.Time
+}
+
 // Written reports the end of a write that the routing duty asked for.
 type Written struct {
 	Key      string
@@ -87,6 +92,13 @@
 	Err      error // nil, ErrConflict or ErrUnavailable
 }
 
+// Inspect asks for a fresh report of the requests in flight at an instance.
+type Inspect struct {
+	Instance string
+}
+
+func (Unanswered) event() {}
+func (Inspect) event()    {}
 func (Arrive) event()     {}
 func (Finish) event()     {}
 func (Abandon) event()    {}
--- a/internal/model/message/frame.go
+++ b/internal/model/message/frame.go
@@ -68,9 +68,10 @@
 	Key      string        // idempotency key of a non-idempotent request
 }
 
-// Heartbeat says that the sender is alive and which of its services it can prove to own.
-type Heartbeat struct {
-	Owned map[string]uint64 // epoch by service
+// Cleared says that an owner's epoch ended and that all its grants came back.
+type Cleared struct {
+	Service string
+	Epoch   uint64
 }
 
 // Fetch asks for the stored answer to an idempotency key.
@@ -87,13 +88,43 @@
 	Answer Answer
 }
 
-func (Ask) frame()       {}
-func (Grant) frame()     {}
-func (Deny) frame()      {}
-func (Release) frame()   {}
-func (Withdraw) frame()  {}
-func (Gather) frame()    {}
-func (Holding) frame()   {}
-func (Heartbeat) frame() {}
-func (Fetch) frame()     {}
-func (Stored) frame()    {}
+// Backup tells another member of a grant that an owner gave to a request of its own,
+// so that the next owner learns of it when this one dies or is paused.
+type Backup struct {
+	Service string
+	Epoch   uint64
+	Grant   Held
+}
+
+// Forget says that the grant of a Backup came back.
+type Forget struct {
+	Service string
+	ID      ID
+}
+
+// Inquire asks the owner of a service how many requests are in flight on each executor.
+type Inquire struct {
+	Service string
+}
+
+// Report answers Inquire.
+type Report struct {
+	Service string
+	Loads   map[string]int // by executor
+}
+
+func (Inquire) frame()  {}
+func (Report) frame()   {}
+func (Ask) frame()      {}
+func (Grant) frame()    {}
+func (Deny) frame()     {}
+func (Release) frame()  {}
+func (Withdraw) frame() {}
+func (Gather) frame()   {}
+func (Holding) frame()  {}
+func (Cleared) frame()  {}
+func (Fetch) frame()    {}
+func (Stored) frame()   {}
+
+func (Backup) frame() {}
+func (Forget) frame() {}
