--- a/cmd/teaselloft/main.go
+++ b/cmd/teaselloft/main.go
@@ -8,8 +8,14 @@
 
 	_ "teaselloft/internal/command/config"
 	_ "teaselloft/internal/command/process"
+	_ "teaselloft/internal/link/caller"
 	_ "teaselloft/internal/link/config"
+	_ "teaselloft/internal/link/endpoint"
+	_ "teaselloft/internal/link/entry"
+	_ "teaselloft/internal/link/operator"
+	_ "teaselloft/internal/link/plan"
 	_ "teaselloft/internal/link/platform"
+	_ "teaselloft/internal/link/route"
 )
 
 func main() {
--- /dev/null
+++ b/internal/decision/entry/explain.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"fmt"
+
+	"teaselloft/internal/decision/correct"
+	"teaselloft/internal/model/message"
+)
+
+// Explain says where a request with the given name would go now.
+func (s State) Explain(name, fleet string, idempotent bool) message.Explanation {
+	e := message.Explanation{Name: name, Config: s.fleet.Version}
+	switch r := s.index.Lookup(correct.Query{Name: name, Fleet: fleet, Idempotent: idempotent}).(type) {
+	case correct.Exact:
+		e.Rule = "exact"
+		e.Service = r.Service
+	case correct.Corrected:
+		e.Rule = fmt.Sprintf("%s, %s", r.Rule, r.Source)
+		e.Service = r.Service
+	case correct.Ambiguous:
+		e.Candidates = r.Candidates
+	case correct.Unknown:
+		e.Candidates = r.Near
+	default:
+		panic(fmt.Sprintf("entry: unknown result %T", r))
+	}
+	v, ok := s.fleet.Service(e.Service)
+	if !ok {
+		return e
+	}
+	e.Pool = v.Pool
+	for _, c := range s.executors(v) {
+		if c.Available {
+			e.Available++
+		}
+	}
+	if o, ok := s.member.Owner(v.Name); ok {
+		e.Owner = o.Entry
+		e.Epoch = o.Epoch
+	}
+	return e
+}
--- a/internal/link/route/provide.go
+++ b/internal/link/route/provide.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"teaselloft/internal/core/kernel"
@@ -13,6 +14,7 @@
 func provide(h *kernel.Host, d *duty) {
 	kernel.Provide[message.Ownership](h, ownership{duty: d})
 	kernel.Provide[message.Load](h, load{duty: d})
+	kernel.Provide[message.Explainer](h, explainer{duty: d})
 }
 
 // ownership answers from the latest snapshot.
@@ -41,6 +43,23 @@
 	return s.InFlight(instance, now)
 }
 
+// errNoConfig is returned by Explain before the first configuration.
+var errNoConfig = errors.New("no configuration is in force yet")
+
+// explainer answers from the latest snapshot.
+type explainer struct {
+	duty *duty
+}
+
+// Explain says where a request with the given name, fleet and method would go now.
+func (e explainer) Explain(_ context.Context, name, fleet, method string) (message.Explanation, error) {
+	s := e.duty.snapshot.Load()
+	if s.Fleet().Version == 0 {
+		return message.Explanation{}, errNoConfig
+	}
+	return s.Explain(name, fleet, message.Idempotent(method)), nil
+}
+
 // dump returns the routing section of the state dump.
 func (d *duty) dump() entry.View {
 	return d.snapshot.Load().View(d.clock())
--- a/internal/model/message/request.go
+++ b/internal/model/message/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -44,6 +45,16 @@
 	Deadline   time.Time // by the clock of the entry instance that took it
 }
 
+// Idempotent says whether a request with the given HTTP method may run twice (RFC 9110, section 9.2.2).
+func Idempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	default:
+		return false
+	}
+}
+
 // WithService returns a copy corrected to the given service.
 func (r Request) WithService(name string) Request {
 	r.Service = name
