--- a/internal/decision/entry/state.go
+++ b/internal/decision/entry/state.go
@@ -68,9 +68,11 @@
 	return -1
 }
 
-// Settled says whether no write or ended epoch of this entry instance is outstanding.
-func (s State) Settled() bool {
-	return len(s.clearing) == 0 && len(s.starting) == 0 && s.member.Idle()
+// Settled says whether this entry instance has nothing left to hand over: no request, no
+// epoch with grants in flight and no write of an owner record that its lease still allows.
+func (s State) Settled(now time.Time) bool {
+	done := len(s.member.Held()) == 0 && len(s.clearing) == 0 && len(s.starting) == 0
+	return done && s.forward.Len() == 0 && (s.member.Idle() || !now.Before(s.member.Until()))
 }
 
 // New returns the state of the entry instance with the given name and availability zone.
--- a/internal/link/entry/codec.go
+++ b/internal/link/entry/codec.go
@@ -66,6 +66,8 @@
 	"cleared":  decodeAs[message.Cleared],
 	"fetch":    decodeAs[message.Fetch],
 	"stored":   decodeAs[message.Stored],
+	"backup":   decodeAs[message.Backup],
+	"forget":   decodeAs[message.Forget],
 	"inquire":  decodeAs[message.Inquire],
 	"report":   decodeAs[message.Report],
 }
@@ -122,6 +124,10 @@
 		return "fetch", f
 	case message.Stored:
 		return "stored", f
+	case message.Backup:
+		return "backup", f
+	case message.Forget:
+		return "forget", f
 	case message.Inquire:
 		return "inquire", f
 	case message.Report:
--- a/internal/link/route/duty.go
+++ b/internal/link/route/duty.go
@@ -200,8 +200,7 @@
 	ticker := time.NewTicker(handoverPoll)
 	defer ticker.Stop()
 	for {
-		s := d.snapshot.Load()
-		if len(s.Member().Held()) == 0 && s.Forward().Len() == 0 && s.Settled() {
+		if d.snapshot.Load().Settled(d.clock()) {
 			return nil
 		}
 		select {
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -12,21 +12,28 @@
 platform_port=${PLATFORM_PORT:-7379}
 dir=$(mktemp -d "${TMPDIR:-/tmp}/teaselloft.XXXXXX")
 pids=()
+entry_pids=()
 
 export TEASELLOFT_PLATFORM="http://127.0.0.1:$platform_port" TEASELLOFT_SITE=kartli
 export TEASELLOFT_TOKEN=local-only TEASELLOFT_OPERATOR="127.0.0.1:$((port + 201))"
 
 start() { # NAME BINARY: runs a process from its settings file
   "bin/$2" daemon "$dir/$1.json" >"$dir/$1.log" 2>&1 &
-  pids+=($!)
+  case $1 in entry-*) entry_pids+=($!) ;; *) pids+=($!) ;; esac
 }
 
+# end PID...: asks processes to stop and waits until they have.
+end() {
+  local pid
+  for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "$@"; do wait "$pid" 2>/dev/null || true; done
+}
+
+# stop_all ends the entry instances first, since they give up their duties through the platform.
 stop_all() {
   trap - EXIT INT TERM
-  local reversed=() pid
-  for pid in "${pids[@]}"; do reversed=("$pid" "${reversed[@]:-}"); done
-  for pid in "${reversed[@]}"; do [ -n "$pid" ] && kill -TERM "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
+  end "${entry_pids[@]}"
+  end "${pids[@]}"
   rm -rf "$dir"
 }
 
