--- a/internal/bench/platform/slope.go
+++ b/internal/bench/platform/slope.go
@@ -1,11 +1,17 @@
 package platform
 
-// Slope returns the increase of a load per entry instance, by least squares over the loads.
-func Slope(loads []Load, of func(Load) float64) float64 {
-	n := float64(len(loads))
+// Point is a value measured with a number of entry instances.
+type Point struct {
+	Entries int
+	Value   float64
+}
+
+// Slope returns the increase of a value per entry instance, by least squares.
+func Slope(points []Point) float64 {
+	n := float64(len(points))
 	var x, y, xx, xy float64
-	for _, l := range loads {
-		e, v := float64(l.Entries), of(l)
+	for _, p := range points {
+		e, v := float64(p.Entries), p.Value
 		x += e
 		y += v
 		xx += e * e
--- /dev/null
+++ b/internal/standin/endpoint/main_test.go
@@ -0,0 +1,21 @@
+package endpoint_test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain guards against goroutines that outlive their process.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	http.DefaultClient.CloseIdleConnections()
+	if err := goleak.Find(); code == 0 && err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
