--- a/internal/link/entry/link.go
+++ b/internal/link/entry/link.go
@@ -33,6 +33,8 @@
 	client    *http.Client
 	scheme    string
 	sessions  sessions
+	base      context.Context // ends with the stop, after which reports do not matter
+	end       context.CancelFunc
 }
 
 func build(h *kernel.Host, s Settings) ([]kernel.Duty, error) {
@@ -52,10 +54,11 @@
 		meters:   newMeters(h.Metrics),
 		sessions: sessions{open: map[string]Session{}},
 	}
+	l.base, l.end = context.WithCancel(context.Background())
 	l.client, l.scheme = newClient(keeper)
 	directory := NewDirectory(l.self)
 	l.directory.Store(&directory)
-	a := &acceptor{link: l, ended: make(chan struct{})}
+	a := newAcceptor(l)
 	server, err := listen.Open(s.Listen, a, l.log)
 	if err != nil {
 		return nil, err
@@ -105,9 +108,9 @@
 	}
 }
 
-// report tells the routing duty something that it must learn.
-func (l *link) report(ctx context.Context, e message.Event) {
-	if err := l.route.PushWait(ctx, e); err != nil {
+// report tells the routing duty something that it must learn, waiting while its ring is full.
+func (l *link) report(e message.Event) {
+	if err := l.route.PushWait(l.base, e); err != nil && l.base.Err() == nil {
 		l.meters.lost.Inc(1)
 		l.log.Warn("routing duty takes no events", "event", "entry.lost", "error", err)
 	}
--- a/internal/link/entry/switchboard.go
+++ b/internal/link/entry/switchboard.go
@@ -8,6 +8,8 @@
 	"teaselloft/internal/core/ring"
 	"teaselloft/internal/model/message"
 	"teaselloft/internal/model/record"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 // update is a change of the peers.
@@ -42,17 +44,27 @@
 	for {
 		select {
 		case o := <-w.frames.Items():
+			w.catchUp()
 			w.hand(ctx, o)
 		case u := <-w.updates.Items():
-			w.apply(ctx, u)
+			w.apply(u)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// catchUp applies the changes that were published before a frame was handed over, such as the record of its receiver.
+func (w *switchboard) catchUp() {
+	for w.updates.Len() > 0 {
+		w.apply(<-w.updates.Items())
+	}
+}
+
 // stop lets the writers send the frames that were handed over before the stop.
 func (w *switchboard) stop() {
+	w.link.end()
+	w.catchUp()
 	for w.frames.Len() > 0 {
 		w.hand(context.Background(), <-w.frames.Items())
 	}
@@ -80,7 +92,7 @@
 	p := &peer{
 		link:    w.link,
 		name:    name,
-		frames:  ring.Queue[message.Frame](peerCapacity),
+		frames:  ring.New[message.Frame]("entry.peer", peerCapacity, ring.Refuse, metrics.NewRegistry()),
 		renew:   make(chan struct{}, 1),
 		updates: w.updates,
 		cancel:  cancel,
@@ -97,7 +109,7 @@
 	delete(w.peers, p.name)
 }
 
-func (w *switchboard) apply(_ context.Context, u update) {
+func (w *switchboard) apply(u update) {
 	directory := *w.link.directory.Load()
 	switch u := u.(type) {
 	case joined:
