--- a/internal/standin/platform/plugin.go
+++ b/internal/standin/platform/plugin.go
@@ -80,7 +80,7 @@
 // run serves until ctx ends.
 func (s *server) run(ctx context.Context) error {
 	hs := &http.Server{
-		Handler:           s.handler(),
+		Handler:           s.handler(ctx),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 		BaseContext:       func(net.Listener) context.Context { return ctx },
--- a/internal/standin/platform/serve.go
+++ b/internal/standin/platform/serve.go
@@ -29,14 +29,15 @@
 	watches  atomic.Uint64
 }
 
-func (s *server) handler() http.Handler {
+// handler returns the routes; calls that change the store end with ctx, not with their request.
+func (s *server) handler(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+etcd.PathRange, serveCall(s, KindRange, decodeRange))
-	mux.HandleFunc("POST "+etcd.PathTxn, serveCall(s, KindTxn, decodeTxn))
-	mux.HandleFunc("POST "+etcd.PathGrant, serveCall(s, KindGrant, decodeGrant))
-	mux.HandleFunc("POST "+etcd.PathKeepAlive, serveCall(s, KindKeepAlive, decodeKeepAlive))
-	mux.HandleFunc("POST "+etcd.PathRevoke, serveCall(s, KindRevoke, decodeRevoke))
-	mux.HandleFunc("POST "+etcd.PathWatch, s.serveWatch)
+	mux.HandleFunc("POST "+etcd.PathRange, serveCall(ctx, s, KindRange, decodeRange))
+	mux.HandleFunc("POST "+etcd.PathTxn, serveCall(ctx, s, KindTxn, decodeTxn))
+	mux.HandleFunc("POST "+etcd.PathGrant, serveCall(ctx, s, KindGrant, decodeGrant))
+	mux.HandleFunc("POST "+etcd.PathKeepAlive, serveCall(ctx, s, KindKeepAlive, decodeKeepAlive))
+	mux.HandleFunc("POST "+etcd.PathRevoke, serveCall(ctx, s, KindRevoke, decodeRevoke))
+	mux.HandleFunc("POST "+etcd.PathWatch, func(w http.ResponseWriter, r *http.Request) { s.serveWatch(ctx, w, r) })
 	mux.HandleFunc("GET "+instances.Path, s.serveList)
 	mux.HandleFunc("POST "+instances.Path, s.serveHeartbeat)
 	mux.HandleFunc("POST /control", s.serveControl)
@@ -45,7 +46,7 @@
 }
 
 // serveCall answers one kind of call.
-func serveCall[Q any](s *server, k Kind, decode func(Q) (keyvalue.Message, error)) http.HandlerFunc {
+func serveCall[Q any](ctx context.Context, s *server, k Kind, decode func(Q) (keyvalue.Message, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		serve, ok := s.admit(w, r, k)
 		if !ok {
@@ -56,13 +57,15 @@
 			fail(w, decodeFailure(err))
 			return
 		}
-		time.Sleep(serve.Delay) // not ended by the caller's leaving: a late write still takes effect
+		if !delay(ctx, serve.Delay) { // not ended by the caller's leaving: a late write still takes effect
+			panic(http.ErrAbortHandler)
+		}
 		m, err := decode(request)
 		if err != nil {
 			fail(w, etcd.Failure{Code: etcd.CodeInvalid, Message: err.Error()})
 			return
 		}
-		effect, err := ask(context.WithoutCancel(r.Context()), s, func(reply *ring.Ring[keyvalue.Effect]) call {
+		effect, err := ask(ctx, s, func(reply *ring.Ring[keyvalue.Effect]) call {
 			return apply{message: m, reply: reply}
 		})
 		if err != nil || serve.Lose {
@@ -72,6 +75,21 @@
 	}
 }
 
+// delay waits for d and returns false when ctx ends before.
+func delay(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // ask pushes a call and waits for its answer.
 func ask[T any](ctx context.Context, s *server, c func(reply *ring.Ring[T]) call) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, readHeaderTimeout)
--- a/internal/standin/platform/watch.go
+++ b/internal/standin/platform/watch.go
@@ -18,7 +18,7 @@
 const sinkCapacity = 1024
 
 // serveWatch streams the messages of one watch until either side ends it.
-func (s *server) serveWatch(w http.ResponseWriter, r *http.Request) {
+func (s *server) serveWatch(process context.Context, w http.ResponseWriter, r *http.Request) {
 	serve, ok := s.admit(w, r, KindWatch)
 	if !ok {
 		return
@@ -28,8 +28,10 @@
 		fail(w, decodeFailure(err))
 		return
 	}
-	time.Sleep(serve.Delay)
-	ctx, cancel := context.WithCancelCause(r.Context())
+	if !delay(r.Context(), serve.Delay) {
+		panic(http.ErrAbortHandler)
+	}
+	ctx, cancel := context.WithCancelCause(r.Context()) // ends with the process too
 	defer cancel(nil)
 	o := open{
 		watch: keyvalue.Watch{
@@ -45,7 +47,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	// The watch must leave the store even though its own context has ended.
-	defer func() { _ = s.calls.Push(context.WithoutCancel(ctx), leave{watch: o.watch.ID}) }()
+	defer func() { _ = s.calls.Push(process, leave{watch: o.watch.ID}) }()
 	w.Header().Set("Content-Type", "application/json")
 	s.stream(ctx, w, o, request.Create.Progress)
 }
