--- a/internal/link/platform/fault_test.go
+++ b/internal/link/platform/fault_test.go
@@ -130,7 +130,7 @@
 // Guards against a write of the routing duty whose end is never reported, or reported wrongly.
 func TestWritePortReportsEveryEnd(t *testing.T) {
 	r := newRig(t)
-	p, seen := r.entry("writer")
+	p, seen := r.entryWith("writer", `,"resolve":500`)
 	await(r.c, "entry is renewed", func() bool { return seen.renewals() > 0 })
 	writes, route := kernel.Open(p.host, message.WritePort), kernel.Open(p.host, message.RoutePort)
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
--- a/internal/link/platform/link_test.go
+++ b/internal/link/platform/link_test.go
@@ -103,7 +103,7 @@
 
 // entryWith adds fields to the settings of the platform plug-in.
 func (r rig) entryWith(name, fields string) (process, *events) {
-	p := start(r.c, name, fmt.Sprintf(`{"recorder":{},"platform":{"addresses":[%q],"entry":"127.0.0.1:1","resolve":500%s}}`, r.address, fields))
+	p := start(r.c, name, fmt.Sprintf(`{"recorder":{},"platform":{"addresses":[%q],"entry":"127.0.0.1:1"%s}}`, r.address, fields))
 	e, _ := recorders.Load(name)
 	return p, e.(*events)
 }
