--- /dev/null
+++ b/internal/link/config/config_test.go
@@ -0,0 +1,266 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/core/ring"
+	"teaselloft/internal/link/config"
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+	"teaselloft/internal/settings/store"
+	"teaselloft/internal/standin/memory"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+	"pgregory.net/rapid"
+)
+
+// process is one entry instance with the plug-in, a store in memory and a subscriber.
+type process struct {
+	store  *memory.Store
+	host   *kernel.Host
+	heads  chan message.Changed
+	seen   []uint64 // by a subscriber that refuses some versions
+	early  []uint64 // by a subscriber before it
+	refuse atomic.Int32 // publications that the subscriber refuses
+	latest fleet.Fleet
+	stop   func()
+}
+
+// starting is the process that the plug-in "memory" is built for.
+var starting *process
+
+var errFull = errors.New("subscriber is full")
+
+func init() {
+	kernel.Register("memory", struct{}{}, func(h *kernel.Host, _ struct{}) ([]kernel.Duty, error) {
+		p := starting
+		p.host = h
+		kernel.Provide[message.Store](h, p.store)
+		kernel.Subscribe(h, message.ConfiguredTopic, func(_ context.Context, m message.Configured) error {
+			p.early = append(p.early, m.Fleet.Version)
+			return nil
+		})
+		kernel.Subscribe(h, message.ConfiguredTopic, func(_ context.Context, m message.Configured) error {
+			if p.refuse.Add(-1) >= 0 {
+				return errFull
+			}
+			p.seen = append(p.seen, m.Fleet.Version)
+			p.latest = m.Fleet
+			return nil
+		})
+		return []kernel.Duty{{Name: "memory", Run: func(ctx context.Context) error {
+			for {
+				select {
+				case <-ctx.Done():
+					return ctx.Err()
+				case m := <-p.heads:
+					if err := kernel.Publish(ctx, h, message.ChangedTopic, m); err != nil {
+						return err
+					}
+				}
+			}
+		}}}, nil
+	})
+}
+
+// start runs a process in the current bubble.
+func start(c *qt.C) *process {
+	p := &process{store: memory.New(), heads: make(chan message.Changed, 1000)}
+	starting = p
+	settings, err := kernel.ParseSettings([]byte(`{"name":"entry-1","plugins":{"config":{},"memory":{}}}`))
+	c.Assert(err, qt.IsNil)
+	k, err := kernel.New(settings, slog.New(slog.DiscardHandler))
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- k.Run(ctx) }()
+	p.stop = func() {
+		cancel()
+		c.Assert(<-done, qt.IsNil)
+	}
+	return p
+}
+
+// apply makes the next version without faults; the process learns of it only from tell.
+func (p *process) apply(c *qt.C, slots int) record.Head {
+	head, _, err := store.ReadHead(context.Background(), p.store)
+	c.Assert(err, qt.IsNil)
+	f := fleet.Fleet{Region: "kartli", Services: []fleet.Service{{Name: "flag-calendar", Slots: slots}}}
+	_, err = store.Apply(context.Background(), p.store, store.Change{ID: fmt.Sprint("id-", head.Version+1), Base: head.Version, Fleet: f})
+	c.Assert(err, qt.IsNil)
+	head, _, err = store.ReadHead(context.Background(), p.store)
+	c.Assert(err, qt.IsNil)
+	return head
+}
+
+func (p *process) tell(heads ...record.Head) {
+	for _, h := range heads {
+		p.heads <- message.Changed{Record: h}
+	}
+}
+
+// settle lets virtual time pass and everything that is due happen.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (p *process) inForce(c *qt.C) uint64 {
+	f, ok := kernel.Use[message.InForce](p.host)
+	c.Assert(ok, qt.IsTrue)
+	version, _ := f.InForce()
+	return version
+}
+
+func (p *process) count(name string) int64 {
+	return p.host.Metrics.Get(name).(metrics.Counter).Count()
+}
+
+// Guards against a version that is not brought into force, or not reported in the dump.
+func TestAdoptsNewVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := start(c)
+		defer p.stop()
+		for slots := 1; slots <= 60; slots++ {
+			p.tell(p.apply(c, slots))
+			synctest.Wait()
+			c.Assert(p.latest.Services[0].Slots, qt.Equals, slots)
+			c.Assert(p.inForce(c), qt.Equals, uint64(slots))
+		}
+		c.Check(p.seen, qt.HasLen, 60)
+		c.Check(fmt.Sprintf("%+v", p.host.State()["config"]), qt.Matches, `{Version:60 Since:.* Services:1 Instances:0 Wanted:60 Error:}`)
+		c.Check(p.host.Metrics.Get("config.version").(metrics.Gauge).Value(), qt.Equals, int64(60))
+	})
+}
+
+// Guards against a version that reverts, whatever the order and number of the heads that arrive.
+func TestNeverReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// The wrapper hides Deadline, which must not be called in a bubble.
+		c := qt.New(t)
+		rapid.Check(struct{ testing.TB }{t}, func(t *rapid.T) {
+			p := start(c)
+			defer p.stop()
+			var heads []record.Head
+			for i := range rapid.IntRange(1, 6).Draw(t, "versions") {
+				heads = append(heads, p.apply(c, i))
+			}
+			highest := uint64(0)
+			for _, i := range rapid.SliceOfN(rapid.IntRange(0, len(heads)-1), 1, 12).Draw(t, "order") {
+				if rapid.IntRange(0, 4).Draw(t, "fault") == 0 {
+					p.refuse.Store(1)
+				}
+				if rapid.Bool().Draw(t, "offer") {
+					offer := message.Configured{Fleet: fleet.Fleet{Version: heads[i].Version}}
+					c.Assert(kernel.Open(p.host, message.OfferPort).Push(context.Background(), offer), qt.IsNil)
+				} else {
+					p.tell(heads[i])
+				}
+				if rapid.Bool().Draw(t, "settle") {
+					settle(time.Minute)
+				}
+				highest = max(highest, heads[i].Version)
+			}
+			settle(time.Minute)
+			for i := 1; i < len(p.seen); i++ {
+				if p.seen[i] <= p.seen[i-1] {
+					t.Fatalf("versions %v", p.seen)
+				}
+			}
+			if !slices.IsSorted(p.early) {
+				t.Fatalf("versions %v at a subscriber that refuses none", p.early)
+			}
+			if v := p.inForce(c); v > highest {
+				t.Fatalf("version %d is in force, the highest is %d", v, highest)
+			}
+		})
+	})
+}
+
+// Guards against a damaged value that takes the last good configuration out of force or ends the process.
+func TestKeepsLastGoodVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := start(c)
+		defer p.stop()
+		p.tell(p.apply(c, 1))
+		head := p.apply(c, 2)
+		p.store.Damage(head.Deltas[0], "{")
+		p.tell(head)
+		settle(time.Minute)
+		c.Check(p.inForce(c), qt.Equals, uint64(1))
+		c.Check(p.count("config.undecodable"), qt.Equals, int64(1))
+		c.Check(p.host.State()["config"], qt.Not(qt.Equals), nil)
+		p.tell(p.apply(c, 3))
+		synctest.Wait()
+		c.Check(p.seen, qt.DeepEquals, []uint64{1, 3})
+		c.Check(p.latest.Services[0].Slots, qt.Equals, 3)
+	})
+}
+
+// Guards against a head that is forgotten, or read without a pause, while the platform is down.
+func TestRetriesWhilePlatformIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := start(c)
+		defer p.stop()
+		head := p.apply(c, 1)
+		p.store.Inject(func(memory.Call) memory.Fault { return memory.Refuse })
+		before := p.store.Counters().Reads
+		p.tell(head)
+		settle(10 * time.Minute)
+		c.Check(p.inForce(c), qt.Equals, uint64(0))
+		reads := p.store.Counters().Reads - before
+		c.Check(reads > 100 && reads < 1000, qt.IsTrue, qt.Commentf("%d reads", reads))
+		p.store.Inject(func(memory.Call) memory.Fault { return memory.None })
+		settle(config.DefaultMaxRetry * 3 / 2 * time.Millisecond)
+		c.Check(p.inForce(c), qt.Equals, uint64(1))
+	})
+}
+
+// Guards against a version that a full subscriber never gets.
+func TestPublishesAgainAfterRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := start(c)
+		defer p.stop()
+		p.refuse.Store(3)
+		p.tell(p.apply(c, 1))
+		settle(time.Minute)
+		c.Check(p.seen, qt.DeepEquals, []uint64{1})
+		c.Check(p.count("config.failed"), qt.Equals, int64(3))
+	})
+}
+
+// Guards against a process that waits for the platform although another entry instance offered a configuration.
+func TestTakesOffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := start(c)
+		defer p.stop()
+		offers := kernel.Open(p.host, message.OfferPort)
+		for _, version := range []uint64{4, 3, 4} {
+			err := offers.Push(context.Background(), message.Configured{Fleet: fleet.Fleet{Version: version}})
+			c.Assert(err == nil || errors.Is(err, ring.ErrFull), qt.IsTrue)
+		}
+		for i := range 5 {
+			p.tell(p.apply(c, i))
+		}
+		synctest.Wait()
+		c.Check(p.seen[0], qt.Equals, uint64(4))
+		c.Check(p.seen[len(p.seen)-1], qt.Equals, uint64(5))
+		c.Check(p.inForce(c), qt.Equals, uint64(5))
+	})
+}
