--- a/internal/model/message/port.go
+++ b/internal/model/message/port.go
@@ -52,8 +52,12 @@
 	ChangedTopic = kernel.Topic[Changed]{Name: "changed"}
 	// ListedTopic carries each new instance list.
 	ListedTopic = kernel.Topic[Listed]{Name: "listed"}
+	// ConfirmedTopic carries each read that found the instance list unchanged.
+	ConfirmedTopic = kernel.Topic[Confirmed]{Name: "confirmed"}
 	// RenewedTopic carries each answered keep-alive.
 	RenewedTopic = kernel.Topic[Renewed]{Name: "renewed"}
+	// UnansweredTopic carries each keep-alive that was not answered.
+	UnansweredTopic = kernel.Topic[Unanswered]{Name: "unanswered"}
 )
 
 // Sender sends a request to an executor; the endpoint link provides it.
