--- a/cmd/teaselloft/main.go
+++ b/cmd/teaselloft/main.go
@@ -7,7 +7,9 @@
 	"teaselloft/internal/core/command"
 
 	_ "teaselloft/internal/command/config"
+	_ "teaselloft/internal/command/fleet"
 	_ "teaselloft/internal/command/process"
+	_ "teaselloft/internal/command/request"
 	_ "teaselloft/internal/link/caller"
 	_ "teaselloft/internal/link/config"
 	_ "teaselloft/internal/link/endpoint"
--- /dev/null
+++ b/internal/command/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet holds the subcommands for pools and instances.
+package fleet
--- /dev/null
+++ b/internal/command/fleet/instance.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"teaselloft/internal/command/option"
+	"teaselloft/internal/core/command"
+	"teaselloft/internal/decision/operate"
+	"teaselloft/internal/model/record"
+
+	"github.com/urfave/cli/v3"
+)
+
+func init() {
+	command.Register(&cli.Command{
+		Name:  "instance",
+		Usage: "instances and the pools they are in",
+		Commands: []*cli.Command{
+			{
+				Name:   "list",
+				Usage:  "list the instances",
+				Flags:  append(option.Platform(), &cli.StringFlag{Name: "pool", Usage: "list only instances in `POOL`"}),
+				Action: listInstances,
+			},
+			orderCommand("move", "ID POOL", "drain an instance and place it in another pool once it was rebooted", 2,
+				func(arguments []string) operate.Order { return operate.Move{Pool: arguments[1]} }),
+			orderCommand("drain", "ID", "give an instance no more work and let it finish what it has", 1,
+				func([]string) operate.Order { return operate.Drain{} }),
+			orderCommand("return", "ID", "give an instance work again; ends a move that still drains", 1,
+				func([]string) operate.Order { return operate.Return{} }),
+		},
+	})
+}
+
+// instance is a row of the list of instances.
+type instance struct {
+	record.Instance
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Rack     string `json:"rack"`
+	Declared bool   `json:"declared"` // by the configuration in force
+}
+
+func listInstances(ctx context.Context, c *cli.Command) error {
+	if _, err := option.Arguments(c, 0, 0); err != nil {
+		return err
+	}
+	ctx, cancel := option.Limit(ctx, c)
+	defer cancel()
+	s, err := option.Connect(ctx, c)
+	if err != nil {
+		return err
+	}
+	v, err := readView(ctx, s)
+	if err != nil {
+		return err
+	}
+	rows := v.rows(c.String("pool"))
+	t := option.Table{Head: []string{"id", "pool", "target", "state", "since", "zone", "rack", "address", "wave", "reason"}}
+	for _, i := range rows {
+		t.Rows = append(t.Rows, []string{
+			i.ID, i.Pool, option.Dash(i.Target), string(i.State), i.Since.Format(time.RFC3339),
+			option.Dash(i.Zone), option.Dash(i.Rack), option.Dash(i.Address), option.Dash(i.Wave), option.Dash(i.Reason),
+		})
+	}
+	return option.Print(c, rows, t)
+}
+
+// rows returns the instances of a pool, or all for an empty name.
+func (v view) rows(pool string) []instance {
+	declared := v.declared()
+	rows := []instance{}
+	for _, i := range v.instances {
+		if pool != "" && i.Pool != pool {
+			continue
+		}
+		d, ok := declared[i.ID]
+		rows = append(rows, instance{Instance: i, Address: d.Address, Zone: d.Zone, Rack: d.Rack, Declared: ok})
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/command/fleet/view.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/record"
+	"teaselloft/internal/settings/store"
+)
+
+// view is the configuration in force with the records of the instances.
+type view struct {
+	fleet     fleet.Fleet
+	instances []record.Instance // sorted by id
+}
+
+func readView(ctx context.Context, s store.Store) (view, error) {
+	head, _, err := store.ReadHead(ctx, s)
+	if err != nil {
+		return view{}, err
+	}
+	var v view
+	if head.Version > 0 {
+		if v.fleet, err = store.At(ctx, s, head, head.Version); err != nil {
+			return view{}, err
+		}
+	}
+	list, err := s.List(ctx, record.PrefixInstance)
+	if err != nil {
+		return view{}, err
+	}
+	for _, c := range list {
+		if i, ok := c.Record.(record.Instance); ok {
+			v.instances = append(v.instances, i)
+		}
+	}
+	slices.SortFunc(v.instances, func(a, b record.Instance) int { return strings.Compare(a.ID, b.ID) })
+	return v, nil
+}
+
+// declared returns instances by id as the configuration declares them.
+func (v view) declared() map[string]fleet.Instance {
+	byID := map[string]fleet.Instance{}
+	for _, p := range v.fleet.Pools {
+		for _, i := range p.Instances {
+			byID[i.ID] = i
+		}
+	}
+	return byID
+}
--- a/internal/command/option/print.go
+++ b/internal/command/option/print.go
@@ -16,16 +16,29 @@
 	Rows [][]string
 }
 
-// Print writes a value as indented JSON with --output json, else as the table.
-func Print(c *cli.Command, value any, t Table) error {
+// Print writes a value as indented JSON with --output json, else as tables with an empty line between them.
+func Print(c *cli.Command, value any, tables ...Table) error {
 	w := c.Root().Writer
 	if c.String("output") == formJSON {
-		e := json.NewEncoder(w)
-		e.SetIndent("", "  ")
-		e.SetEscapeHTML(false)
-		return e.Encode(value)
+		return PrintJSON(w, value)
 	}
-	return t.write(w)
+	for i, t := range tables {
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		if err := t.write(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// PrintJSON writes a value as indented JSON.
+func PrintJSON(w io.Writer, value any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	return e.Encode(value)
 }
 
 func (t Table) write(w io.Writer) error {
@@ -38,3 +51,11 @@
 	}
 	return columns.Flush()
 }
+
+// Dash returns the cell for a text that may be empty.
+func Dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- /dev/null
+++ b/internal/decision/operate/ledger.go
@@ -0,0 +1,38 @@
+package operate
+
+import (
+	"fmt"
+	"slices"
+
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/record"
+)
+
+// Services returns the services that run in a pool.
+func Services(f fleet.Fleet, pool string) []fleet.Service {
+	var found []fleet.Service
+	for _, s := range f.Services {
+		if s.Pool == pool {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+// Reserve enters an instance, whose record has the given revision, in a service's ledger.
+//
+// It wraps ErrRefused when fewer instances than the budget would go on serving.
+func Reserve(l record.Ledger, s fleet.Service, all []record.Instance, id string, revision int64) (record.Ledger, error) {
+	serving := 0
+	for _, i := range all {
+		if i.Pool == s.Pool && i.State == record.Serving && i.ID != id && !slices.Contains(l.Out, i.ID) {
+			serving++
+		}
+	}
+	if serving < s.Budget.Available {
+		return record.Ledger{}, fmt.Errorf("%w: %d instances of service %q would serve without %q, its budget is %d",
+			ErrRefused, serving, s.Name, id, s.Budget.Available)
+	}
+	l.Service = s.Name
+	return l.WithOut(id, revision), nil
+}
--- a/internal/link/config/config_test.go
+++ b/internal/link/config/config_test.go
@@ -30,8 +30,8 @@
 	store  *memory.Store
 	host   *kernel.Host
 	heads  chan message.Changed
-	seen   []uint64 // by a subscriber that refuses some versions
-	early  []uint64 // by a subscriber before it
+	seen   []uint64     // by a subscriber that refuses some versions
+	early  []uint64     // by a subscriber before it
 	refuse atomic.Int32 // publications that the subscriber refuses
 	latest fleet.Fleet
 	stop   func()
