--- a/internal/command/config/apply.go
+++ b/internal/command/config/apply.go
@@ -16,14 +16,16 @@
 )
 
 func init() {
-	command.Register(&cli.Command{
-		Name:      "apply",
-		Usage:     "bring configuration files into force as the next version",
-		ArgsUsage: "BASE.json [OVERLAY.json ...]",
-		Description: "The change is refused when another version than --from is in force. After an error\n" +
-			"that leaves the result unknown, repeat the command with the printed --change.",
-		Flags:  append(option.Platform(), changeFlags()...),
-		Action: apply,
+	command.RegisterFunc(func() *cli.Command {
+		return &cli.Command{
+			Name:      "apply",
+			Usage:     "bring configuration files into force as the next version",
+			ArgsUsage: "BASE.json [OVERLAY.json ...]",
+			Description: "The change is refused when another version than --from is in force. After an error\n" +
+				"that leaves the result unknown, repeat the command with the printed --change.",
+			Flags:  append(option.Platform(), changeFlags()...),
+			Action: apply,
+		}
 	})
 }
 
--- a/internal/command/config/check.go
+++ b/internal/command/config/check.go
@@ -16,14 +16,16 @@
 )
 
 func init() {
-	command.Register(&cli.Command{
-		Name:      "check",
-		Usage:     "check configuration files and list all their faults; contacts nothing",
-		ArgsUsage: "BASE.json [OVERLAY.json ...]",
-		Description: "Overlays of one site are merged in the order given; overlays of different sites\n" +
-			"are checked one site after the other.",
-		Flags:  []cli.Flag{option.Output()},
-		Action: check,
+	command.RegisterFunc(func() *cli.Command {
+		return &cli.Command{
+			Name:      "check",
+			Usage:     "check configuration files and list all their faults; contacts nothing",
+			ArgsUsage: "BASE.json [OVERLAY.json ...]",
+			Description: "Overlays of one site are merged in the order given; overlays of different sites\n" +
+				"are checked one site after the other.",
+			Flags:  []cli.Flag{option.Output()},
+			Action: check,
+		}
 	})
 }
 
--- a/internal/command/config/diff.go
+++ b/internal/command/config/diff.go
@@ -14,12 +14,14 @@
 )
 
 func init() {
-	command.Register(&cli.Command{
-		Name:      "diff",
-		Usage:     "show what applying configuration files would change",
-		ArgsUsage: "BASE.json [OVERLAY.json ...]",
-		Flags:     append(option.Platform(), &cli.Uint64Flag{Name: "version", Usage: "`VERSION` to compare with, by default the one in force"}),
-		Action:    diff,
+	command.RegisterFunc(func() *cli.Command {
+		return &cli.Command{
+			Name:      "diff",
+			Usage:     "show what applying configuration files would change",
+			ArgsUsage: "BASE.json [OVERLAY.json ...]",
+			Flags:     append(option.Platform(), &cli.Uint64Flag{Name: "version", Usage: "`VERSION` to compare with, by default the one in force"}),
+			Action:    diff,
+		}
 	})
 }
 
--- a/internal/command/config/history.go
+++ b/internal/command/config/history.go
@@ -16,11 +16,13 @@
 const defaultHistory = 20
 
 func init() {
-	command.Register(&cli.Command{
-		Name:   "history",
-		Usage:  "list the latest configuration versions",
-		Flags:  append(option.Platform(), &cli.IntFlag{Name: "count", Usage: "largest `NUMBER` of versions", Value: defaultHistory}),
-		Action: history,
+	command.RegisterFunc(func() *cli.Command {
+		return &cli.Command{
+			Name:   "history",
+			Usage:  "list the latest configuration versions",
+			Flags:  append(option.Platform(), &cli.IntFlag{Name: "count", Usage: "largest `NUMBER` of versions", Value: defaultHistory}),
+			Action: history,
+		}
 	})
 }
 
--- a/internal/command/config/rollback.go
+++ b/internal/command/config/rollback.go
@@ -13,12 +13,14 @@
 )
 
 func init() {
-	command.Register(&cli.Command{
-		Name:      "rollback",
-		Usage:     "bring the content of an earlier version into force as a new, higher version",
-		ArgsUsage: "VERSION",
-		Flags:     append(option.Platform(), changeFlags()...),
-		Action:    rollback,
+	command.RegisterFunc(func() *cli.Command {
+		return &cli.Command{
+			Name:      "rollback",
+			Usage:     "bring the content of an earlier version into force as a new, higher version",
+			ArgsUsage: "VERSION",
+			Flags:     append(option.Platform(), changeFlags()...),
+			Action:    rollback,
+		}
 	})
 }
 
--- a/internal/command/fleet/instance.go
+++ b/internal/command/fleet/instance.go
@@ -13,23 +13,25 @@
 )
 
 func init() {
-	command.Register(&cli.Command{
-		Name:  "instance",
-		Usage: "instances and the pools they are in",
-		Commands: []*cli.Command{
-			{
-				Name:   "list",
-				Usage:  "list the instances",
-				Flags:  append(option.Platform(), &cli.StringFlag{Name: "pool", Usage: "list only instances in `POOL`"}),
-				Action: listInstances,
+	command.RegisterFunc(func() *cli.Command {
+		return &cli.Command{
+			Name:  "instance",
+			Usage: "instances and the pools they are in",
+			Commands: []*cli.Command{
+				{
+					Name:   "list",
+					Usage:  "list the instances",
+					Flags:  append(option.Platform(), &cli.StringFlag{Name: "pool", Usage: "list only instances in `POOL`"}),
+					Action: listInstances,
+				},
+				orderCommand("move", "ID POOL", "drain an instance and place it in another pool once it was rebooted", 2,
+					func(arguments []string) operate.Order { return operate.Move{Pool: arguments[1]} }),
+				orderCommand("drain", "ID", "give an instance no more work and let it finish what it has", 1,
+					func([]string) operate.Order { return operate.Drain{} }),
+				orderCommand("return", "ID", "give an instance work again; ends a move that still drains", 1,
+					func([]string) operate.Order { return operate.Return{} }),
 			},
-			orderCommand("move", "ID POOL", "drain an instance and place it in another pool once it was rebooted", 2,
-				func(arguments []string) operate.Order { return operate.Move{Pool: arguments[1]} }),
-			orderCommand("drain", "ID", "give an instance no more work and let it finish what it has", 1,
-				func([]string) operate.Order { return operate.Drain{} }),
-			orderCommand("return", "ID", "give an instance work again; ends a move that still drains", 1,
-				func([]string) operate.Order { return operate.Return{} }),
-		},
+		}
 	})
 }
 
--- a/internal/command/fleet/pool.go
+++ b/internal/command/fleet/pool.go
@@ -12,15 +12,17 @@
 )
 
 func init() {
-	command.Register(&cli.Command{
-		Name:  "pool",
-		Usage: "pools of instances",
-		Commands: []*cli.Command{{
-			Name:   "list",
-			Usage:  "list the pools with the states of their instances",
-			Flags:  option.Platform(),
-			Action: listPools,
-		}},
+	command.RegisterFunc(func() *cli.Command {
+		return &cli.Command{
+			Name:  "pool",
+			Usage: "pools of instances",
+			Commands: []*cli.Command{{
+				Name:   "list",
+				Usage:  "list the pools with the states of their instances",
+				Flags:  option.Platform(),
+				Action: listPools,
+			}},
+		}
 	})
 }
 
@@ -55,7 +57,7 @@
 	pools := v.pools()
 	t := option.Table{Head: []string{"pool", "fleet", "declared", "present", "serving", "draining", "rebooting", "out"}}
 	for _, p := range pools {
-		row := []string{p.Name, p.Fleet, strconv.Itoa(p.Declared), strconv.Itoa(p.Present)}
+		row := []string{p.Name, option.Dash(p.Fleet), strconv.Itoa(p.Declared), strconv.Itoa(p.Present)}
 		for _, state := range states {
 			row = append(row, strconv.Itoa(p.States[state]))
 		}
--- a/internal/command/process/dump.go
+++ b/internal/command/process/dump.go
@@ -15,12 +15,14 @@
 )
 
 func init() {
-	command.Register(&cli.Command{
-		Name:      "dump",
-		Usage:     "show the state of an entry instance, always as JSON",
-		ArgsUsage: "[SECTION]",
-		Flags:     option.Operator(),
-		Action:    dump,
+	command.RegisterFunc(func() *cli.Command {
+		return &cli.Command{
+			Name:      "dump",
+			Usage:     "show the state of an entry instance, always as JSON",
+			ArgsUsage: "[SECTION]",
+			Flags:     option.Operator(),
+			Action:    dump,
+		}
 	})
 }
 
--- a/internal/command/process/explain.go
+++ b/internal/command/process/explain.go
@@ -14,15 +14,17 @@
 )
 
 func init() {
-	command.Register(&cli.Command{
-		Name:      "explain",
-		Usage:     "show which service a name leads to and by which rule, without sending a request",
-		ArgsUsage: "NAME",
-		Flags: append(option.Operator(),
-			&cli.StringFlag{Name: "method", Usage: "HTTP `METHOD` of the request", Value: http.MethodGet},
-			&cli.StringFlag{Name: "fleet", Usage: "`FLEET` that the caller asks for"},
-		),
-		Action: explain,
+	command.RegisterFunc(func() *cli.Command {
+		return &cli.Command{
+			Name:      "explain",
+			Usage:     "show which service a name leads to and by which rule, without sending a request",
+			ArgsUsage: "NAME",
+			Flags: append(option.Operator(),
+				&cli.StringFlag{Name: "method", Usage: "HTTP `METHOD` of the request", Value: http.MethodGet},
+				&cli.StringFlag{Name: "fleet", Usage: "`FLEET` that the caller asks for"},
+			),
+			Action: explain,
+		}
 	})
 }
 
--- a/internal/command/process/status.go
+++ b/internal/command/process/status.go
@@ -17,13 +17,15 @@
 )
 
 func init() {
-	command.Register(&cli.Command{
-		Name:  "status",
-		Usage: "show an entry instance's view of its site and the most frequent misspelled names",
-		Flags: append(option.Operator(), &cli.BoolFlag{
-			Name: "config", Usage: "show only the configuration version in force in each entry instance",
-		}),
-		Action: status,
+	command.RegisterFunc(func() *cli.Command {
+		return &cli.Command{
+			Name:  "status",
+			Usage: "show an entry instance's view of its site and the most frequent misspelled names",
+			Flags: append(option.Operator(), &cli.BoolFlag{
+				Name: "config", Usage: "show only the configuration version in force in each entry instance",
+			}),
+			Action: status,
+		}
 	})
 }
 
--- a/internal/command/request/request.go
+++ b/internal/command/request/request.go
@@ -31,25 +31,27 @@
 var errRefused = errors.New("request was not answered with success")
 
 func init() {
-	command.Register(&cli.Command{
-		Name:      "request",
-		Usage:     "send one request through an entry instance",
-		ArgsUsage: "METHOD NAME/PATH",
-		Description: "Sends the request once; it is never repeated. The exit code is 0 only when the\n" +
-			"request was answered with a status below 400.",
-		Flags: []cli.Flag{
-			&cli.StringFlag{
-				Name: "entry", Usage: "`ADDRESS` of an entry instance's listener for callers",
-				Sources: cli.EnvVars("TEASELLOFT_ENTRY"),
+	command.RegisterFunc(func() *cli.Command {
+		return &cli.Command{
+			Name:      "request",
+			Usage:     "send one request through an entry instance",
+			ArgsUsage: "METHOD NAME/PATH",
+			Description: "Sends the request once; it is never repeated. The exit code is 0 only when the\n" +
+				"request was answered with a status below 400.",
+			Flags: []cli.Flag{
+				&cli.StringFlag{
+					Name: "entry", Usage: "`ADDRESS` of an entry instance's listener for callers",
+					Sources: cli.EnvVars("TEASELLOFT_ENTRY"),
+				},
+				&cli.StringFlag{Name: "data", Usage: "body `TEXT`, or @FILE for the content of a file"},
+				&cli.StringFlag{Name: "key", Usage: "Idempotency-Key `KEY`, without which the entry instance makes one"},
+				&cli.IntFlag{Name: "priority", Usage: "`URGENCY` from 0, the most urgent, to 7", Value: defaultUrgency},
+				&cli.DurationFlag{Name: "timeout", Usage: "longest `TIME` until the answer", Value: defaultTimeout},
+				&cli.StringFlag{Name: "fleet", Usage: "`FLEET` that is asked for"},
+				option.Output(),
 			},
-			&cli.StringFlag{Name: "data", Usage: "body `TEXT`, or @FILE for the content of a file"},
-			&cli.StringFlag{Name: "key", Usage: "Idempotency-Key `KEY`, without which the entry instance makes one"},
-			&cli.IntFlag{Name: "priority", Usage: "`URGENCY` from 0, the most urgent, to 7", Value: defaultUrgency},
-			&cli.DurationFlag{Name: "timeout", Usage: "longest `TIME` until the answer", Value: defaultTimeout},
-			&cli.StringFlag{Name: "fleet", Usage: "`FLEET` that is asked for"},
-			option.Output(),
-		},
-		Action: send,
+			Action: send,
+		}
 	})
 }
 
--- a/internal/core/command/table.go
+++ b/internal/core/command/table.go
@@ -13,25 +13,34 @@
 
 var table = struct {
 	sync.Mutex
-	commands []*cli.Command
+	builders []func() *cli.Command
 }{}
 
 // Register adds a subcommand to every program built with Main; call it from init.
 func Register(c *cli.Command) {
+	RegisterFunc(func() *cli.Command { return c })
+}
+
+// RegisterFunc adds a subcommand that is built anew for each program, since a command keeps the flags of its last run.
+func RegisterFunc(build func() *cli.Command) {
 	table.Lock()
 	defer table.Unlock()
-	table.commands = append(table.commands, c)
+	table.builders = append(table.builders, build)
 }
 
 // Program returns the root command with every registered subcommand.
 func Program(name, usage string) *cli.Command {
 	table.Lock()
 	defer table.Unlock()
+	commands := make([]*cli.Command, len(table.builders))
+	for i, build := range table.builders {
+		commands[i] = build()
+	}
 	return &cli.Command{
 		Name:                  name,
 		Usage:                 usage,
 		EnableShellCompletion: true,
-		Commands:              table.commands,
+		Commands:              commands,
 	}
 }
 
