--- a/internal/command/process/client.go
+++ b/internal/command/process/client.go
@@ -43,6 +43,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("ask operator listener: %w", err)
 	}
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("operator listener %s answered %d: %s", address, response.StatusCode, refused.Error)
 	}
--- a/internal/command/process/ready.go
+++ b/internal/command/process/ready.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("%w: status %d", errNotReady, response.StatusCode)
 	}
--- a/internal/command/request/request.go
+++ b/internal/command/request/request.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return result{}, fmt.Errorf("send request, its outcome is unknown: %w", err)
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
 	if err != nil {
 		return result{}, fmt.Errorf("read answer of status %d: %w", response.StatusCode, err)
