Read a damaged configuration again now and then

A value that could not be decoded once was given up until the next change, so that a passing fault of the platform kept an entry instance on the old version.

--- a/internal/link/config/config_test.go
+++ b/internal/link/config/config_test.go
@@ -198,10 +198,12 @@
 		p.tell(p.apply(c, 1))
 		head := p.apply(c, 2)
 		p.store.Damage(head.Deltas[0], "{")
+		before := p.store.Counters().Reads
 		p.tell(head)
 		settle(time.Minute)
 		c.Check(p.inForce(c), qt.Equals, uint64(1))
 		c.Check(p.count("config.undecodable"), qt.Equals, int64(1))
+		c.Check(p.store.Counters().Reads-before < 50, qt.IsTrue)
 		c.Check(p.host.State()["config"], qt.Not(qt.Equals), nil)
 		p.tell(p.apply(c, 3))
 		synctest.Wait()
@@ -210,6 +212,25 @@
 	})
 }
 
+// Guards against a version that stays out of force after its value can be read again.
+func TestAdoptsRepairedVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := start(c)
+		defer p.stop()
+		head := p.apply(c, 1)
+		text, _, err := p.store.ReadRaw(context.Background(), head.Snapshot)
+		c.Assert(err, qt.IsNil)
+		p.store.Damage(head.Snapshot, "{")
+		p.tell(head)
+		settle(time.Minute)
+		c.Check(p.inForce(c), qt.Equals, uint64(0))
+		p.store.Damage(head.Snapshot, string(text))
+		settle(time.Minute)
+		c.Check(p.inForce(c), qt.Equals, uint64(1))
+	})
+}
+
 // Guards against a head that is forgotten, or read without a pause, while the platform is down.
 func TestRetriesWhilePlatformIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/link/config/duty.go
+++ b/internal/link/config/duty.go
@@ -32,6 +32,7 @@
 	wanted    record.Head    // newest head seen, zero when there is nothing to do
 	assembly  store.Assembly // latest one from the platform
 	published uint64         // highest version that any subscriber may have seen
+	damaged   uint64         // latest version that could not be decoded
 
 	adopted     metrics.Counter
 	undecodable metrics.Counter
@@ -110,25 +111,32 @@
 	if err == nil {
 		err = d.publish(ctx, assembly.Fleet)
 	}
-	switch {
-	case err == nil:
+	if err == nil {
 		d.wanted = record.Head{}
 		d.pauses.Reset()
 		return nil
-	case store.Damaged(err):
-		d.undecodable.Inc(1)
-		d.log.Error("configuration kept", "event", "config.undecodable", "version", d.wanted.Version, "inforce", d.inForce(), "error", err)
-		d.report(d.status.load().withError(err))
-		d.wanted = record.Head{}
-		return nil
 	}
-	d.failed.Inc(1)
 	d.report(d.status.load().withError(err))
+	if store.Damaged(err) {
+		d.keep(err)
+		return time.After(d.pauses.MaxInterval)
+	}
+	d.failed.Inc(1)
 	pause := d.pauses.NextBackOff()
 	d.log.Warn("configuration not read", "event", "config.retry", "version", d.wanted.Version, "pause", pause, "error", err)
 	return time.After(pause)
 }
 
+// keep counts and logs a version that cannot be decoded, once; the last good one stays in force.
+func (d *duty) keep(err error) {
+	if d.damaged == d.wanted.Version {
+		return
+	}
+	d.damaged = d.wanted.Version
+	d.undecodable.Inc(1)
+	d.log.Error("configuration kept", "event", "config.undecodable", "version", d.wanted.Version, "inforce", d.inForce(), "error", err)
+}
+
 // offer takes a configuration from another entry instance, for the time in which the platform does not answer.
 func (d *duty) offer(ctx context.Context, f fleet.Fleet) {
 	if err := d.publish(ctx, f); err != nil {
