--- a/internal/decision/dispatch/pump.go
+++ b/internal/decision/dispatch/pump.go
@@ -11,7 +11,7 @@
 // pump grants free slots to the requests whose turn it is.
 func (s State) pump() (State, []Effect) {
 	var effects []Effect
-	for s.phase == active && s.now.Before(s.until) && s.queue.Len() > 0 {
+	for s.proven() && s.queue.Len() > 0 {
 		next, e, granted := s.grantNext()
 		s = next
 		if !granted {
@@ -22,6 +22,11 @@
 	return s, effects
 }
 
+// proven reports whether the owner may grant.
+func (s State) proven() bool {
+	return s.phase == active && s.now.Before(s.until)
+}
+
 // grantNext grants one slot to the first lane that may use one.
 func (s State) grantNext() (State, Effect, bool) {
 	c := s.capacity()
--- a/internal/decision/dispatch/request.go
+++ b/internal/decision/dispatch/request.go
@@ -59,6 +59,9 @@
 	for _, id := range m.Exclude {
 		again = again || id == g.target.ID
 	}
+	if !again && !s.proven() {
+		return s, []Effect{s.deny(m.From, m.Request.ID, refusal(message.ReasonNoOwner, 0))}
+	}
 	if !again {
 		// The frame was lost with its link; the entry instance uses one grant for each ID.
 		return s, []Effect{Reply{To: m.From, Frame: g.frame(s.service.Name)}}
--- a/internal/decision/dispatch/step.go
+++ b/internal/decision/dispatch/step.go
@@ -8,8 +8,8 @@
 // Step applies a message to the state and returns the new state and the effects to carry out in order.
 func Step(s State, m Message) (State, []Effect) {
 	s = s.withNow(when(m))
-	s, effects := s.expire()
-	s, more := s.apply(m)
+	s, effects := s.apply(m)
+	s, more := s.expire()
 	effects = append(effects, more...)
 	s, more = s.advance().flush()
 	effects = append(effects, more...)
--- /dev/null
+++ b/internal/decision/retry/budget_test.go
@@ -0,0 +1,56 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"teaselloft/internal/decision/retry"
+	"teaselloft/internal/model/message"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against more attempts than the budget allows, whatever the order of requests and failures.
+func TestAttemptsStayWithinBudget(t *testing.T) {
+	now := time.Unix(0, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		b := retry.New(retry.DefaultShare, retry.DefaultBurst)
+		requests, retries := 0, 0
+		for range rapid.IntRange(0, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "request") {
+				b = b.WithRequest()
+				requests++
+				continue
+			}
+			var again bool
+			b, again = b.Decide(retry.Attempt{Now: now, Deadline: now.Add(1), Idempotent: true, Outcome: message.Unknown})
+			if again {
+				retries++
+			}
+		}
+		if float64(retries) > retry.DefaultShare*float64(requests)+1e-9 {
+			t.Fatalf("%d retries for %d requests", retries, requests)
+		}
+	})
+}
+
+// Guards against a second run of a request and against retries that nobody waits for.
+func TestUnsafeRetriesAreRefused(t *testing.T) {
+	now := time.Unix(0, 0)
+	full := retry.New(1, 1).WithRequest()
+	for _, test := range []struct {
+		name    string
+		attempt retry.Attempt
+		again   bool
+	}{
+		{"idempotent, unknown", retry.Attempt{Now: now, Deadline: now.Add(1), Idempotent: true, Outcome: message.Unknown}, true},
+		{"not idempotent, unknown", retry.Attempt{Now: now, Deadline: now.Add(1), Outcome: message.Unknown}, false},
+		{"not idempotent, not run", retry.Attempt{Now: now, Deadline: now.Add(1), Outcome: message.NotRun}, true},
+		{"answered", retry.Attempt{Now: now, Deadline: now.Add(1), Idempotent: true, Outcome: message.Answered}, false},
+		{"past the deadline", retry.Attempt{Now: now, Deadline: now, Idempotent: true, Outcome: message.NotRun}, false},
+	} {
+		if _, again := full.Decide(test.attempt); again != test.again {
+			t.Errorf("%s: retried %v", test.name, again)
+		}
+	}
+}
