--- a/internal/decision/wave/candidate.go
+++ b/internal/decision/wave/candidate.go
@@ -41,7 +41,7 @@
 		return
 	}
 	for _, w := range p.running {
-		if r.Wave != w.ID && p.state.selects(w, r) {
+		if !maintained(w, r) && p.state.selects(w, r) {
 			p.wanted[r.ID] = w.ID
 			break
 		}
@@ -52,6 +52,14 @@
 	}
 }
 
+// maintained returns whether the serving instance needs nothing more from the wave.
+//
+// An instance that another wave maintained since this one began counts too: two waves that took turns
+// on the same instances would never end.
+func maintained(w record.Wave, r record.Instance) bool {
+	return r.Wave == w.ID || r.Wave != "" && r.Since.After(w.Since)
+}
+
 // entered returns whether a ledger of its pool lists the instance.
 func (p *pass) entered(r record.Instance) bool {
 	return slices.ContainsFunc(p.byPool[r.Pool], func(v *service) bool { return v.lists(r.ID) })
@@ -167,6 +175,10 @@
 	if c.wave.ID != "" && len(v.out) > 0 && !v.out[v.domain.Of(c.place)] {
 		return fmt.Sprintf("service %q has instances of another %s out", name, v.domain)
 	}
+	if ahead, _ := p.state.ahead.Get(name); ahead > p.state.watched {
+		// The instance records may be older than the ledger and show an instance that has moved away as serving.
+		return fmt.Sprintf("the ledger of service %q is newer than the instance records", name)
+	}
 	if v.headroomWithout(c.place) < 0 {
 		return fmt.Sprintf("service %q has %d serving and needs %d after the loss of its largest %s",
 			name, v.count, v.config.Budget.Available, v.domain)
--- a/internal/decision/wave/forecast.go
+++ b/internal/decision/wave/forecast.go
@@ -42,6 +42,7 @@
 	forecastEpoch = 1 << 62 // above every real epoch, so that the dry run may act on any ledger
 	forecastQuiet = 90 * time.Second
 	forecastWrite = 10 * time.Millisecond // time that a write takes in the dry run
+	forecastSeen  = 20 * time.Millisecond // until a drain is seen in force: a write and the next decision
 	maxForecast   = 200_000               // steps; 5,000 instances need about 20,000
 )
 
@@ -168,7 +169,7 @@
 
 func (r *rehearsal) drained(id string) time.Time {
 	k, _ := r.state.Instance(id)
-	return k.Record.Since.Add(max(r.expect.Drain(id), r.state.settings.Grace))
+	return k.Record.Since.Add(max(r.expect.Drain(id), r.state.settings.Grace) + forecastSeen)
 }
 
 func (r *rehearsal) advance(to time.Time) {
--- a/internal/decision/wave/instance.go
+++ b/internal/decision/wave/instance.go
@@ -1,8 +1,10 @@
 package wave
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
+	"time"
 
 	"teaselloft/internal/model/record"
 )
@@ -61,7 +63,7 @@
 
 // drain starts to take an instance out.
 func (p *pass) drain(k Kept[record.Instance], wave string) {
-	r := k.Record.WithState(record.Draining, p.state.now).WithWave(wave, "")
+	r := k.Record.WithState(record.Draining, p.state.now).WithWave(cmp.Or(wave, k.Record.Wave), "")
 	p.write(r, k.Revision)
 	p.note(notice(slog.LevelInfo, "instance.drain", "instance leaves service", "instance", r.ID,
 		"pool", r.Pool, "target", r.Target, "wave", wave))
@@ -86,7 +88,7 @@
 		return
 	}
 	seen, known := p.state.flights.Get(r.ID)
-	fresh := known && !seen.at.Before(r.Since.Add(limits.Grace))
+	fresh := known && !seen.at.Before(p.inForce(r).Add(limits.Grace))
 	if fresh && seen.count == 0 {
 		p.write(r.WithState(record.Rebooting, now).WithWave(r.Wave, ""), k.Revision)
 		p.note(notice(slog.LevelInfo, "instance.reboot", "instance is drained", "instance", r.ID, "wave", r.Wave))
@@ -101,6 +103,16 @@
 	}
 }
 
+// inForce returns since when the drain is known to be in force.
+func (p *pass) inForce(r record.Instance) time.Time {
+	d, ok := p.state.drains.Get(r.ID)
+	if !ok || !d.since.Equal(r.Since) {
+		d = drain{since: r.Since, seen: p.state.now}
+		p.state.drains = p.state.drains.Set(r.ID, d)
+	}
+	return d.seen
+}
+
 func drainReason(seen flight, known, fresh bool) string {
 	switch {
 	case !known || seen.count < 0:
@@ -160,6 +172,7 @@
 	}
 	p.state.gone = p.state.gone.Delete(r.ID)
 	p.state.flights = p.state.flights.Delete(r.ID)
+	p.state.drains = p.state.drains.Delete(r.ID)
 	p.write(r.WithTarget(""), k.Revision)
 	p.note(notice(slog.LevelInfo, "instance.return", "instance serves again", "instance", r.ID, "pool", r.Pool,
 		"wave", r.Wave))
--- a/internal/decision/wave/message.go
+++ b/internal/decision/wave/message.go
@@ -26,6 +26,9 @@
 }
 
 // Loaded brings every instance, ledger and wave record, in answer to a Load effect.
+//
+// The ledgers have to be read before the instances, as headroom is counted by instance records that
+// are at least as new as the ledger.
 type Loaded struct {
 	Records []Changed
 }
--- a/internal/decision/wave/progress.go
+++ b/internal/decision/wave/progress.go
@@ -66,7 +66,7 @@
 }
 
 func progressOf(w record.Wave, r record.Instance) record.WaveProgress {
-	if r.Wave != w.ID {
+	if r.Wave != w.ID && (r.State != record.Serving || !maintained(w, r)) {
 		return record.WaveProgress{Step: StepPending, Reason: r.Reason}
 	}
 	step := StepPending
@@ -171,7 +171,9 @@
 func (s State) wakeFor(r record.Instance, at func(time.Time)) {
 	switch r.State {
 	case record.Draining:
-		at(r.Since.Add(s.settings.Grace))
+		if d, ok := s.drains.Get(r.ID); ok {
+			at(d.seen.Add(s.settings.Grace))
+		}
 		at(r.Since.Add(s.settings.DrainLimit + time.Second))
 	case record.Rebooting:
 		at(r.Since.Add(s.settings.Settle))
--- a/internal/decision/wave/state.go
+++ b/internal/decision/wave/state.go
@@ -29,6 +29,15 @@
 	at    time.Time
 }
 
+// drain says when a drain was first seen in force.
+//
+// A write whose answer is lost can take effect long after the time in the record, so that time does
+// not tell since when the entry instances send no new work.
+type drain struct {
+	since time.Time // of the record, which tells one drain from the next
+	seen  time.Time
+}
+
 // State is what the planner knows; it is an immutable value.
 type State struct {
 	settings Settings
@@ -45,12 +54,16 @@
 	ledgers   *immutable.SortedMap[string, Kept[record.Ledger]]
 	waves     *immutable.SortedMap[string, Kept[record.Wave]]
 
+	watched int64                               // highest revision that the watch brought
+	ahead   *immutable.SortedMap[string, int64] // revision of a ledger read back before the watch brought it, by service
+
 	live     map[string]message.Listing // replaced as a whole
 	listedAt time.Time
 	confirms bool // unchanged lists are confirmed, so that the age of the list is known
 
 	gone    *immutable.SortedMap[string, time.Time] // when an instance out of service was last absent from the list
 	flights *immutable.SortedMap[string, flight]
+	drains  *immutable.SortedMap[string, drain]
 	open    *immutable.SortedMap[string, open]      // by key
 	held    *immutable.SortedMap[string, time.Time] // services that lost instances, until when nothing is taken out
 	reports *immutable.SortedMap[string, time.Time] // last progress write by wave
@@ -69,7 +82,9 @@
 		instances: immutable.NewSortedMap[string, Kept[record.Instance]](nil),
 		ledgers:   immutable.NewSortedMap[string, Kept[record.Ledger]](nil),
 		waves:     immutable.NewSortedMap[string, Kept[record.Wave]](nil),
+		ahead:     immutable.NewSortedMap[string, int64](nil),
 		gone:      immutable.NewSortedMap[string, time.Time](nil),
+		drains:    immutable.NewSortedMap[string, drain](nil),
 		flights:   immutable.NewSortedMap[string, flight](nil),
 		open:      immutable.NewSortedMap[string, open](nil),
 		held:      immutable.NewSortedMap[string, time.Time](nil),
--- a/internal/decision/wave/step.go
+++ b/internal/decision/wave/step.go
@@ -7,6 +7,8 @@
 
 	"teaselloft/internal/model/message"
 	"teaselloft/internal/model/record"
+
+	"github.com/benbjohnson/immutable"
 )
 
 // Step returns the state after the message and what to do about it; only Time and Won lead to decisions.
@@ -55,9 +57,16 @@
 	if o, ok := s.open.Get(m.Record.Key()); ok && o.doubt && m.Read {
 		s = s.withClosed(m.Record.Key())
 	}
-	if s.revision(m.Record) > m.Revision && !m.Deleted {
+	known := s.revision(m.Record)
+	if !m.Read {
+		s.watched = max(s.watched, m.Revision)
+	}
+	if known > m.Revision && !m.Deleted {
 		return s
 	}
+	if l, ok := m.Record.(record.Ledger); ok && m.Read && m.Revision > known {
+		s.ahead = s.ahead.Set(l.Service, m.Revision)
+	}
 	if m.Deleted {
 		return s.without(m.Record)
 	}
@@ -117,6 +126,7 @@
 	for _, r := range m.Records {
 		s = change(s, r)
 	}
+	s.ahead = immutable.NewSortedMap[string, int64](nil)
 	s.loaded = s.epoch > 0
 	return s
 }
@@ -148,7 +158,11 @@
 func written(s State, m Written) (State, []Effect) {
 	key := m.Record.Key()
 	if m.Err == nil {
-		return change(s.withClosed(key), Changed{Record: m.Record, Revision: m.Revision}), nil
+		s = s.withClosed(key)
+		if s.revision(m.Record) > m.Revision {
+			return s, nil
+		}
+		return s.with(m.Record, m.Revision), nil
 	}
 	s = s.withOpen(open{record: m.Record, doubt: true, next: s.now.Add(s.settings.ReadAgain)})
 	event := "write.conflict"
--- a/internal/link/plan/call.go
+++ b/internal/link/plan/call.go
@@ -89,7 +89,7 @@
 
 func load(ctx context.Context, store message.Store) wave.Message {
 	var loaded wave.Loaded
-	for _, prefix := range []string{record.PrefixInstance, record.PrefixBudget, record.PrefixWave} {
+	for _, prefix := range []string{record.PrefixBudget, record.PrefixWave, record.PrefixInstance} {
 		values, err := store.List(ctx, prefix)
 		if err != nil {
 			return wave.LoadFailed{Now: time.Now()}
--- a/internal/link/plan/plan_test.go
+++ b/internal/link/plan/plan_test.go
@@ -50,10 +50,11 @@
 	if i, ok := w.Record.(record.Instance); ok && i.State == record.Rebooting {
 		p.reboot(ctx, i.ID)
 	}
+	err := kernel.Publish(ctx, p.host, message.ChangedTopic, change)
 	if lost {
 		return 0, message.ErrUnavailable
 	}
-	return change.Revision, kernel.Publish(ctx, p.host, message.ChangedTopic, change)
+	return change.Revision, err
 }
 
 // reboot takes the instance off the list and puts it back.
@@ -98,6 +99,12 @@
 	return found, nil
 }
 
+func (*platform) ReadRaw(context.Context, string) ([]byte, int64, error) {
+	return nil, 0, message.ErrNotFound
+}
+
+func (*platform) WriteRaw(context.Context, string, []byte) error { return message.ErrUnavailable }
+
 func (p *platform) Owns(string) (uint64, time.Time, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
