--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,7 +6,9 @@
 
 	"teaselloft/internal/core/command"
 
+	_ "teaselloft/internal/command/layout"
 	_ "teaselloft/internal/command/process"
+	_ "teaselloft/internal/standin/endpoint"
 	_ "teaselloft/internal/standin/platform"
 )
 
--- a/internal/decision/entry/step.go
+++ b/internal/decision/entry/step.go
@@ -56,7 +56,7 @@
 }
 
 // NextWake returns when Wake is due, zero for never.
-func (s State) NextWake(now time.Time) time.Time {
+func (s State) NextWake() time.Time {
 	wake := s.member.NextWake()
 	sooner := func(t time.Time) {
 		if !t.IsZero() && (wake.IsZero() || t.Before(wake)) {
@@ -68,13 +68,8 @@
 		sooner(d.NextWake())
 	}
 	for _, e := range s.clearing {
-		for _, deadline := range e.grants {
-			sooner(deadline)
-		}
-	}
-	for _, t := range s.staticWakes() {
-		if t.After(now) {
-			sooner(t)
+		for _, b := range e.grants {
+			sooner(b.deadline.Add(linger))
 		}
 	}
 	return wake
@@ -85,8 +80,10 @@
 	case message.Arrive:
 		t.arrive(e.Request)
 	case message.Finish:
+		t.forget(e.ID)
 		t.forwardStep(forward.Finished{Now: t.now, Finish: e})
 	case message.Abandon:
+		t.forget(e.ID)
 		t.forwardStep(forward.Abandoned{Now: t.now, ID: e.ID})
 	case message.Received:
 		t.receive(e.From, e.Frame)
@@ -101,6 +98,9 @@
 	case message.Renewed:
 		t.memberStep(member.Renewed{Now: t.now, Until: e.Sent.Add(e.TTL - leaseMargin)})
 		t.updateStatic()
+	case message.Unanswered:
+		t.unanswered = e.Sent
+		t.updateStatic()
 	case message.Inspect:
 		t.inspect(e.Instance)
 	case message.Written:
--- /dev/null
+++ b/internal/link/entry/codec_test.go
@@ -0,0 +1,179 @@
+package entry_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"teaselloft/internal/link/entry"
+	"teaselloft/internal/model/message"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+)
+
+var sampleID = message.ID{Entry: "a", Incarnation: "1", Sequence: 7}
+
+// samples has one frame of each kind.
+var samples = []message.Frame{
+	message.Ask{
+		Request: message.Request{
+			ID: sampleID, Name: "flag-calender", Service: "flag-calendar", Method: "POST", Path: "/declare?x", Fleet: "halyard",
+			Caller: "10.0.0.1", Key: "k", Class: message.Background, Zone: "z",
+		},
+		Left: 3 * time.Second, Exclude: []string{"cal-1"},
+	},
+	message.Grant{ID: sampleID, Service: "s", Epoch: 3, Executor: message.Executor{ID: "e", Address: "127.0.0.1:1", Zone: "z"}},
+	message.Deny{ID: sampleID, Service: "s", Epoch: 3, Holder: "b", Refusal: message.Refusal{
+		Reason: message.ReasonOverload, Detail: "d", Candidates: []string{"x"}, RetryAfter: time.Second,
+	}},
+	message.Release{ID: sampleID, Service: "s", Epoch: 3, Executor: "e", Outcome: message.Unknown, RunTime: time.Millisecond},
+	message.Withdraw{ID: sampleID, Service: "s"},
+	message.Gather{Service: "s", Epoch: 1 << 63},
+	message.Holding{Service: "s", Epoch: 3, Grants: []message.Held{{ID: sampleID, Executor: "e", Left: time.Second, Key: "k"}}},
+	message.Cleared{Service: "s", Epoch: 3},
+	message.Fetch{ID: sampleID, Service: "s", Key: "k"},
+	message.Stored{ID: sampleID, Found: true, Answer: message.Answer{
+		Status: 201, Header: map[string][]string{"Etag": {"x", "y"}}, Body: []byte{0, 0xff},
+	}},
+	message.Inquire{Service: "s"},
+	message.Report{Service: "s", Loads: map[string]int{"e": 8}},
+}
+
+// Guards against a frame that changes on its way between entry instances.
+func TestFramesRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	for _, f := range samples {
+		data, err := entry.Encode(f, now)
+		c.Assert(err, qt.IsNil)
+		got, err := entry.Decode(data, now)
+		c.Assert(err, qt.IsNil)
+		if a, ok := f.(message.Ask); ok {
+			a.Request.Arrived, a.Request.Deadline = now, now.Add(a.Left)
+			f = a
+		}
+		c.Check(got, qt.DeepEquals, f)
+	}
+}
+
+// Guards against deadlines that depend on the clock of another entry instance.
+func TestAskRebuildsTimes(t *testing.T) {
+	c := qt.New(t)
+	sender := time.Unix(1000, 0)
+	receiver := time.Unix(90000, 0) // its clock differs by a day
+	f := message.Ask{
+		Request: message.Request{ID: sampleID, Arrived: sender.Add(-2 * time.Second), Deadline: sender.Add(8 * time.Second)},
+		Left:    9 * time.Second, // when the frame was made, a second before it is written
+	}
+	data, err := entry.Encode(f, sender)
+	c.Assert(err, qt.IsNil)
+	got, err := entry.Decode(data, receiver)
+	c.Assert(err, qt.IsNil)
+	a := got.(message.Ask)
+	c.Check(a.Left, qt.Equals, 8*time.Second)
+	c.Check(a.Request.Deadline.Equal(receiver.Add(8*time.Second)), qt.IsTrue)
+	c.Check(a.Request.Arrived.Equal(receiver.Add(-2*time.Second)), qt.IsTrue)
+}
+
+// envelope is the outer form of a frame.
+type envelope struct {
+	_    struct{} `cbor:",toarray"`
+	Kind string
+	Body any
+}
+
+func raw(c *qt.C, v any) []byte {
+	data, err := cbor.Marshal(v)
+	c.Assert(err, qt.IsNil)
+	return data
+}
+
+// Guards against bytes that are taken for a frame, or that make the decoder use memory beyond the frame's size.
+func TestDecodeRefusesOtherBytes(t *testing.T) {
+	c := qt.New(t)
+	valid, err := entry.Encode(samples[5], time.Now())
+	c.Assert(err, qt.IsNil)
+	array := append([]byte{0x82, 0x67}, "holding"...)
+	array = append(array, 0xa1, 0x66)
+	array = append(array, "Grants"...)
+	array = binary.BigEndian.AppendUint32(append(array, 0x9a), 1<<31) // announces 2^31 elements
+	for name, test := range map[string]struct {
+		data []byte
+		want error
+	}{
+		"empty":          {nil, entry.ErrMalformed},
+		"text":           {[]byte("{}"), entry.ErrMalformed},
+		"trailing":       {append(bytes.Clone(valid), 0), entry.ErrMalformed},
+		"cut":            {valid[:len(valid)-1], entry.ErrMalformed},
+		"wrong body":     {raw(c, envelope{Kind: "gather", Body: []int{1}}), entry.ErrMalformed},
+		"wrong field":    {raw(c, envelope{Kind: "gather", Body: map[string]any{"Epoch": "x"}}), entry.ErrMalformed},
+		"negative epoch": {raw(c, envelope{Kind: "gather", Body: map[string]any{"Epoch": -1}}), entry.ErrMalformed},
+		"unknown kind":   {raw(c, envelope{Kind: "other", Body: map[string]any{}}), entry.ErrUnknownKind},
+		"huge array":     {array, entry.ErrMalformed},
+		"oversized":      {make([]byte, 64<<10+1), entry.ErrOversized},
+	} {
+		f, err := entry.Decode(test.data, time.Now())
+		c.Check(err, qt.ErrorIs, test.want, qt.Commentf("%s: %v", name, f))
+	}
+}
+
+// Guards against a decoder that panics or accepts what it cannot encode again.
+func FuzzDecode(f *testing.F) {
+	for _, s := range samples {
+		data, err := entry.Encode(s, time.Now())
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) { decodeAny(qt.New(t), data) })
+}
+
+// Runs the fuzz target on a bounded number of changed frames as an ordinary test.
+func TestDecodeChangedFrames(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 20000 {
+		data, err := entry.Encode(samples[random.IntN(len(samples))], time.Now())
+		c.Assert(err, qt.IsNil)
+		for range 1 + random.IntN(4) {
+			i := random.IntN(len(data))
+			switch random.IntN(3) {
+			case 0:
+				data[i] = byte(random.Uint32())
+			case 1:
+				data = append(data[:i:i], data[i+1:]...)
+			default:
+				data = append(data[:i:i], append([]byte{byte(random.Uint32())}, data[i:]...)...)
+			}
+			if len(data) == 0 {
+				break
+			}
+		}
+		decodeAny(c, data)
+	}
+}
+
+func decodeAny(c *qt.C, data []byte) {
+	now := time.Now()
+	frame, err := entry.Decode(data, now)
+	if err != nil {
+		known := errors.Is(err, entry.ErrMalformed) || errors.Is(err, entry.ErrUnknownKind) || errors.Is(err, entry.ErrOversized)
+		c.Assert(known, qt.IsTrue, qt.Commentf("%v", err))
+		return
+	}
+	again, err := entry.Encode(frame, now)
+	if errors.Is(err, entry.ErrOversized) {
+		return
+	}
+	c.Assert(err, qt.IsNil)
+	same, err := entry.Decode(again, now)
+	c.Assert(err, qt.IsNil)
+	if _, ok := frame.(message.Ask); !ok { // durations that overflow do not come back
+		c.Assert(same, qt.DeepEquals, frame)
+	}
+}
