--- a/cmd/teaselloft/main.go
+++ b/cmd/teaselloft/main.go
@@ -7,6 +7,7 @@
 	"teaselloft/internal/core/command"
 
 	_ "teaselloft/internal/command/config"
+	_ "teaselloft/internal/command/maintenance"
 	_ "teaselloft/internal/command/process"
 	_ "teaselloft/internal/link/caller"
 	_ "teaselloft/internal/link/config"
--- /dev/null
+++ b/internal/command/maintenance/declare.go
@@ -0,0 +1,44 @@
+package maintenance
+
+import (
+	"fmt"
+	"time"
+
+	"teaselloft/internal/model/record"
+
+	"github.com/urfave/cli/v3"
+)
+
+// declareFlags are the flags that say what a wave maintains.
+func declareFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "pool", Usage: "only instances in the `POOL`"},
+		&cli.StringFlag{Name: "zone", Usage: "only instances in the `ZONE`"},
+		&cli.StringFlag{Name: "rack", Usage: "only instances in the `RACK`"},
+		&cli.StringSliceFlag{Name: "instance", Usage: "only the `INSTANCE`; may be repeated"},
+		&cli.IntFlag{Name: "most", Usage: "at most `N` instances out at a time, 0 for as many as the budgets allow"},
+		&cli.TimestampFlag{
+			Name:   "by",
+			Usage:  "`TIME` by which the wave should end, as 2026-12-24T18:00:00Z",
+			Config: cli.TimestampConfig{Layouts: []string{time.RFC3339}},
+		},
+	}
+}
+
+// declared returns the wave that the flags declare; a negative most is an error.
+func declared(c *cli.Command, id string) (record.Wave, error) {
+	most := c.Int("most")
+	if most < 0 {
+		return record.Wave{}, fmt.Errorf("flag --most is %d, less than 0", most)
+	}
+	return record.Wave{
+		ID:        id,
+		Pool:      c.String("pool"),
+		Zone:      c.String("zone"),
+		Rack:      c.String("rack"),
+		Instances: c.StringSlice("instance"),
+		Most:      most,
+		By:        c.Timestamp("by"),
+		Phase:     record.Planned,
+	}, nil
+}
--- /dev/null
+++ b/internal/command/maintenance/maintenance.go
@@ -0,0 +1,29 @@
+package maintenance
+
+import (
+	"teaselloft/internal/command/option"
+	"teaselloft/internal/core/command"
+	"teaselloft/internal/decision/wave"
+
+	"github.com/urfave/cli/v3"
+)
+
+func init() {
+	command.Register(&cli.Command{
+		Name:  "maintenance",
+		Usage: "declare, watch and steer maintenance waves",
+		Commands: []*cli.Command{
+			planCommand(),
+			startCommand(),
+			operateCommand(wave.Pause, "take no more instances out; those that are out come back"),
+			operateCommand(wave.Resume, "go on with a paused or stopped wave"),
+			operateCommand(wave.Cancel, "end a wave; draining instances serve again, rebooting ones come back"),
+			statusCommand(),
+		},
+	})
+}
+
+// join returns the flags that all subcommands share, then the given ones.
+func join(flags ...cli.Flag) []cli.Flag {
+	return append(option.Platform(), flags...)
+}
--- /dev/null
+++ b/internal/command/maintenance/status.go
@@ -0,0 +1,128 @@
+package maintenance
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"teaselloft/internal/command/option"
+	"teaselloft/internal/decision/wave"
+	"teaselloft/internal/model/record"
+	"teaselloft/internal/settings/store"
+
+	"github.com/urfave/cli/v3"
+)
+
+// followEvery is the time between reads of a followed wave; the planner writes its progress once a minute.
+const followEvery = 2 * time.Second
+
+func followFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "follow", Usage: "wait for the wave's end, with a progress bar on a terminal"}
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "status",
+		Usage:     "show all waves, or the instances of one",
+		ArgsUsage: "[WAVE]",
+		Flags:     join(followFlag()),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			arguments, err := option.Arguments(c, 0, 1)
+			if err != nil {
+				return err
+			}
+			s, err := option.Connect(ctx, c)
+			if err != nil {
+				return err
+			}
+			if len(arguments) == 0 {
+				return statusAll(ctx, c, s)
+			}
+			limited, cancel := option.Limit(ctx, c)
+			defer cancel()
+			w, _, err := readWave(limited, s, arguments[0])
+			if err != nil {
+				return err
+			}
+			return show(ctx, c, s, w)
+		},
+	}
+}
+
+func statusAll(ctx context.Context, c *cli.Command, s store.Store) error {
+	ctx, cancel := option.Limit(ctx, c)
+	defer cancel()
+	records, err := s.List(ctx, record.PrefixWave)
+	if err != nil {
+		return fmt.Errorf("list waves: %w", err)
+	}
+	waves := []record.Wave{}
+	for _, r := range records {
+		if w, ok := r.Record.(record.Wave); ok {
+			waves = append(waves, w)
+		}
+	}
+	return printWaves(c, waves)
+}
+
+// show prints one wave, after its end with --follow; a followed wave that does not end as done is an error.
+func show(ctx context.Context, c *cli.Command, s store.Store, w record.Wave) error {
+	if c.Bool("follow") {
+		var err error
+		if w, err = follow(ctx, c, s, w); err != nil {
+			return err
+		}
+	}
+	t := option.Table{Head: []string{"instance", "step", "since", "reason"}}
+	for _, id := range slices.Sorted(maps.Keys(w.Progress)) {
+		g := w.Progress[id]
+		since := ""
+		if !g.Since.IsZero() {
+			since = g.Since.Format(time.RFC3339)
+		}
+		t.Rows = append(t.Rows, []string{id, g.Step, since, g.Reason})
+	}
+	t.Rows = append(t.Rows, []string{fmt.Sprintf("wave %s is %s: %s", w.ID, w.Phase, wave.Summary(w))})
+	if err := option.Print(c, w, t); err != nil {
+		return err
+	}
+	if c.Bool("follow") && w.Phase != record.Done {
+		return fmt.Errorf("wave %q is %s", w.ID, w.Phase)
+	}
+	return nil
+}
+
+// follow reads the wave until it neither runs nor is paused.
+func follow(ctx context.Context, c *cli.Command, s store.Store, w record.Wave) (record.Wave, error) {
+	b := newBar(c.Root().ErrWriter)
+	defer b.end()
+	ticker := time.NewTicker(followEvery)
+	defer ticker.Stop()
+	for w.Phase == record.Planned || w.Phase == record.Running || w.Phase == record.Paused {
+		b.draw(w)
+		select {
+		case <-ctx.Done():
+			return w, ctx.Err()
+		case <-ticker.C:
+		}
+		limited, cancel := option.Limit(ctx, c)
+		next, _, err := readWave(limited, s, w.ID)
+		cancel()
+		if err != nil {
+			return w, err
+		}
+		w = next
+	}
+	b.draw(w)
+	return w, nil
+}
+
+func printWaves(c *cli.Command, waves []record.Wave) error {
+	t := option.Table{Head: []string{"wave", "phase", "since", "progress"}}
+	for _, w := range waves {
+		t.Rows = append(t.Rows, []string{w.ID, string(w.Phase), w.Since.Format(time.RFC3339), wave.Summary(w)})
+	}
+	return option.Print(c, waves, t)
+}
