--- a/internal/link/plan/planner.go
+++ b/internal/link/plan/planner.go
@@ -21,6 +21,7 @@
 	calls    *ring.Ring[call]
 	meters   meters
 	state    wave.State
+	sizer    *sizer
 	due      bool                       // something was learned or the wake time has come
 	polled   time.Time                  // when the requests in flight were last looked at
 	shown    atomic.Pointer[wave.State] // for the dump
@@ -28,6 +29,7 @@
 
 func newPlanner(h *kernel.Host, s Settings, events *ring.Ring[event], calls *ring.Ring[call]) *planner {
 	p := &planner{host: h, settings: s, events: events, calls: calls, meters: newMeters(h.Metrics), state: wave.New(s.wave())}
+	p.sizer = newSizer(h)
 	p.show()
 	registerGauges(h.Metrics, func() wave.Report { return p.shown.Load().Report() })
 	return p
@@ -93,6 +95,11 @@
 	if p.state.Epoch() > 0 && !now.Before(p.polled.Add(p.settings.Poll.Value())) {
 		p.countFlights(now)
 	}
+	if p.state.Epoch() > 0 {
+		for _, m := range p.sizer.run(now, p.state) {
+			p.step(m)
+		}
+	}
 	p.step(wave.Time{Now: now})
 	p.meters.steps.Update(time.Since(now).Microseconds())
 	p.show()
@@ -187,6 +194,9 @@
 	if w := p.state.Wake(); !w.IsZero() {
 		sooner(w)
 	}
+	if t, ok := p.sizer.due(); ok && p.state.Epoch() > 0 {
+		sooner(t)
+	}
 	if p.state.Epoch() > 0 && len(p.state.Draining()) > 0 {
 		sooner(now.Add(p.settings.Poll.Value()))
 	}
--- a/internal/model/message/planner.go
+++ b/internal/model/message/planner.go
@@ -21,3 +21,9 @@
 type Confirmed struct {
 	Time time.Time
 }
+
+// Demand tells what the callers ask for; the routing duty provides it.
+type Demand interface {
+	// Slots returns the executor slots that the requests of each service ask for, running and queued, over the site.
+	Slots() map[string]float64
+}
