--- /dev/null
+++ b/internal/decision/placement/doc.go
@@ -0,0 +1,2 @@
+// Package placement decides which worker runs which job.
+package placement
--- /dev/null
+++ b/internal/decision/placement/placement_test.go
@@ -0,0 +1,373 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"teaselloft/internal/decision/placement"
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/message"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+// site answers the effects of the decision as workers would and checks them.
+type site struct {
+	state   placement.State
+	now     time.Time
+	places  map[string]string // worker by job that may be running
+	sizes   map[string]placement.Size
+	workers map[string]placement.Worker
+	aside   map[string]string
+	banned  map[string]bool
+	saving  []string
+	fault   error
+}
+
+func newSite(workers int, size placement.Size, quota fleet.Quota) *site {
+	s := &site{
+		state: placement.New(placement.Defaults()), now: start,
+		places: map[string]string{}, sizes: map[string]placement.Size{}, workers: map[string]placement.Worker{},
+		aside: map[string]string{}, banned: map[string]bool{},
+	}
+	s.step(placement.Configure{Teams: []fleet.Team{{Name: "halyard", Quota: quota}}})
+	for n := range workers {
+		w := placement.Worker{ID: fmt.Sprintf("w%03d", n), Size: size}
+		s.workers[w.ID] = w
+		s.step(placement.Joined{Now: s.now, Worker: w})
+	}
+	return s
+}
+
+func (s *site) step(m placement.Message) []placement.Effect {
+	var effects []placement.Effect
+	s.state, effects = placement.Step(s.state, m)
+	for _, e := range effects {
+		s.take(e)
+	}
+	return effects
+}
+
+func (s *site) take(e placement.Effect) {
+	switch e := e.(type) {
+	case placement.Run:
+		if at, ok := s.places[e.Job]; ok && s.fault == nil {
+			s.fault = fmt.Errorf("job %s runs on %s and on %s", e.Job, at, e.Worker)
+		}
+		s.places[e.Job], s.sizes[e.Job] = e.Worker, e.Size
+		s.checkWorker(e.Worker)
+	case placement.Stop:
+		delete(s.places, e.Job)
+	case placement.Checkpoint:
+		s.saving = append(s.saving, e.Job)
+	case placement.SetAside:
+		s.aside[e.Job] = e.Reason
+	case placement.Quarantine:
+		s.banned[e.Worker] = true
+	case placement.Readmit:
+		delete(s.banned, e.Worker)
+	case placement.Throttle:
+	}
+}
+
+func (s *site) checkWorker(id string) {
+	var sum placement.Size
+	for job, at := range s.places {
+		if at == id {
+			sum = sum.Plus(s.sizes[job])
+		}
+	}
+	if !sum.Fits(s.workers[id].Size) && s.fault == nil {
+		s.fault = fmt.Errorf("worker %s holds %+v", id, sum)
+	}
+}
+
+// tick lets a time pass, renews every lease and lets the decision place.
+func (s *site) tick(d time.Duration) []placement.Effect {
+	s.now = s.now.Add(d)
+	for _, w := range s.workers {
+		s.step(placement.Joined{Now: s.now, Worker: w})
+	}
+	return s.step(placement.Time{Now: s.now})
+}
+
+func (s *site) submit(id string, class message.Class, size placement.Size) {
+	s.step(placement.Submit{Now: s.now, Job: placement.Job{ID: id, Team: "halyard", Kind: "k", Class: class, Declared: size}})
+}
+
+func (s *site) start() {
+	for job := range s.places {
+		s.step(placement.Started{Now: s.now, Job: job})
+	}
+}
+
+var (
+	machine = placement.Size{Cores: 16, Memory: 64}
+	plenty  = fleet.Quota{Cores: 1000, Memory: 4000, Accelerators: 10}
+	small   = placement.Size{Cores: 1, Memory: 2}
+)
+
+// Guards against jobs that can never run and either block others or vanish without a reason to act on.
+func TestImpossibleJobsAreSetAsideWithTheReason(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(3, machine, fleet.Quota{Cores: 100, Memory: 200, Accelerators: 1})
+	s.submit("cores", message.Urgent, placement.Size{Cores: 17, Memory: 1})
+	s.submit("quota", message.Normal, placement.Size{Cores: 1, Memory: 201})
+	s.submit("accelerators", message.Normal, placement.Size{Cores: 1, Accelerators: 1})
+	s.submit("fine", message.Background, small)
+	s.tick(time.Second)
+	c.Assert(s.aside, qt.DeepEquals, map[string]string{
+		"cores":        "needs 17 cores, more than the 16 of the largest worker",
+		"quota":        `needs 201 GB memory, more than the 200 of quota of team "halyard"`,
+		"accelerators": "needs 1 accelerators, more than the 0 of the largest worker",
+	})
+	c.Assert(s.places["fine"], qt.Not(qt.Equals), "")
+	s.workers["big"] = placement.Worker{ID: "big", Size: placement.Size{Cores: 32, Memory: 64}}
+	s.tick(time.Second)
+	c.Assert(s.places["cores"], qt.Equals, "big")
+}
+
+// Guards against urgent work that waits behind background work that fills every worker.
+func TestUrgentWorkDisplacesBackgroundWork(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(2, machine, plenty)
+	for n := range 8 {
+		s.submit(fmt.Sprint("b", n), message.Background, placement.Size{Cores: 4, Memory: 16})
+		s.tick(time.Second)
+		s.start()
+	}
+	s.submit("urgent", message.Urgent, placement.Size{Cores: 8, Memory: 8})
+	began := s.now
+	for s.places["urgent"] == "" && s.now.Sub(began) < time.Minute {
+		s.tick(time.Second)
+		for _, id := range s.saving {
+			delete(s.places, id)
+			s.step(placement.Saved{Now: s.now, Job: id})
+		}
+		c.Assert(len(s.saving) <= 2, qt.IsTrue)
+		s.saving = nil
+	}
+	c.Assert(s.now.Sub(began) <= 6700*time.Millisecond, qt.IsTrue, qt.Commentf("after %s", s.now.Sub(began)))
+	c.Assert(s.fault, qt.IsNil)
+}
+
+// Guards against a worker that keeps taking jobs although it fails all of them, or never gets another chance.
+func TestFailingWorkerIsQuarantinedAndReadmitted(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(2, machine, plenty)
+	lost := 0
+	round := func(broken bool) {
+		s.submit(fmt.Sprint("j", s.now.UnixNano()), message.Normal, small)
+		s.tick(time.Second)
+		for job, at := range s.places {
+			if broken && at == "w000" {
+				lost++
+				delete(s.places, job)
+				s.step(placement.Failed{Now: s.now, Job: job})
+				continue
+			}
+			delete(s.places, job)
+			s.step(placement.Started{Now: s.now, Job: job})
+			s.step(placement.Finished{Now: s.now, Job: job, Peak: small})
+		}
+	}
+	for range 2 * 3600 {
+		round(true)
+	}
+	c.Assert(s.banned["w000"], qt.IsTrue)
+	c.Assert(lost > 0 && lost <= 8, qt.IsTrue, qt.Commentf("%d jobs lost", lost))
+	for range 20 * 3600 {
+		if !s.banned["w000"] {
+			break
+		}
+		round(false)
+	}
+	c.Assert(s.banned["w000"], qt.IsFalse)
+}
+
+// Guards against cancelled jobs that still run, and against room that a cancelled job keeps.
+func TestCancelledJobsLeaveNothingBehind(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(1, machine, plenty)
+	var ids []string
+	for n := range 40 {
+		ids = append(ids, fmt.Sprint("j", n))
+		s.submit(ids[n], message.Normal, placement.Size{Cores: 6, Memory: 10})
+	}
+	s.tick(time.Second)
+	c.Assert(s.places, qt.HasLen, 2)
+	effects := s.step(placement.Cancel{Now: s.now, Jobs: ids})
+	c.Assert(effects, qt.HasLen, 2)
+	c.Assert(s.places, qt.HasLen, 0)
+	s.submit("all", message.Normal, machine)
+	s.tick(time.Second)
+	c.Assert(s.places, qt.DeepEquals, map[string]string{"all": "w000"})
+}
+
+// Guards against a straggler that keeps urgent work waiting, or that runs twice while it is saved.
+func TestStragglerIsCheckpointedForUrgentWork(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(1, machine, plenty)
+	all := placement.Size{Cores: 16, Memory: 64}
+	for n := range 5 {
+		id := fmt.Sprint("j", n)
+		s.submit(id, message.Normal, all)
+		s.tick(time.Second)
+		s.start()
+		s.now = s.now.Add(2 * time.Second)
+		s.end(placement.Finished{Now: s.now, Job: id, Peak: placement.Size{Cores: 13, Memory: 50}})
+	}
+	s.submit("slow", message.Normal, all)
+	s.tick(time.Second)
+	s.start()
+	s.submit("urgent", message.Urgent, small)
+	s.step(placement.Used{Now: s.now, Jobs: map[string]placement.Size{"slow": machine}})
+	for range 4 {
+		s.tick(time.Second)
+		c.Assert(s.saving, qt.HasLen, 0)
+	}
+	for range 10 {
+		s.tick(time.Second)
+	}
+	c.Assert(s.saving, qt.DeepEquals, []string{"slow"})
+	s.end(placement.Finished{}) // a report on an unknown job changes nothing
+	delete(s.places, "slow")
+	s.step(placement.Saved{Now: s.now, Job: "slow"})
+	s.tick(time.Second)
+	c.Assert(s.places["urgent"], qt.Equals, "w000")
+	c.Assert(s.fault, qt.IsNil)
+}
+
+// Guards against sizes that stay wrong: the declared one is replaced, and a task over its size is contained.
+func TestLearnedSizesReplaceDeclaredOnes(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(1, machine, plenty)
+	for n := range 6 {
+		id := fmt.Sprint("j", n)
+		s.submit(id, message.Normal, placement.Size{Cores: 10, Memory: 20})
+		s.tick(time.Second)
+		s.start()
+		delete(s.places, id)
+		s.step(placement.Finished{Now: s.now, Job: id, Peak: small})
+	}
+	s.submit("learned", message.Normal, placement.Size{Cores: 10, Memory: 20})
+	s.tick(time.Second)
+	c.Assert(s.sizes["learned"].Cores < 2, qt.IsTrue)
+	s.start()
+	s.submit("filler", message.Urgent, placement.Size{Cores: 10, Memory: 20})
+	effects := s.step(placement.Used{Now: s.now, Jobs: map[string]placement.Size{"learned": {Cores: 40, Memory: 2}}})
+	c.Assert(effects, qt.DeepEquals, []placement.Effect{placement.Throttle{Job: "learned", Worker: "w000", Size: s.sizes["learned"]}})
+	effects = s.step(placement.Used{Now: s.now, Jobs: map[string]placement.Size{"learned": {Cores: 1, Memory: 70}}})
+	c.Assert(effects, qt.HasLen, 1)
+	c.Assert(effects[0].(placement.Checkpoint).Job, qt.Equals, "learned")
+	s.tick(time.Second)
+	c.Assert(s.places["learned"], qt.Equals, "w000", qt.Commentf("it runs nowhere else before it was saved"))
+	c.Assert(s.fault, qt.IsNil)
+}
+
+// Guards against jobs that run twice, workers that hold more than they have, and quotas that are exceeded.
+func TestPlacementInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		quota := fleet.Quota{Cores: 24, Memory: 96}
+		s := newSite(4, machine, quota)
+		lost := map[string]time.Time{}
+		next := 0
+		pick := func(t *rapid.T) string {
+			if next == 0 {
+				t.Skip("no job")
+			}
+			return fmt.Sprint("j", rapid.IntRange(0, next-1).Draw(t, "job"))
+		}
+		running := func(t *rapid.T) string {
+			id := pick(t)
+			if s.places[id] == "" || !lost[s.places[id]].IsZero() {
+				t.Skip("not running")
+			}
+			return id
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				size := placement.Size{
+					Cores: float64(rapid.IntRange(1, 17).Draw(t, "cores")), Memory: float64(rapid.IntRange(1, 65).Draw(t, "memory")),
+				}
+				class := rapid.SampledFrom([]message.Class{message.Urgent, message.Normal, message.Background}).Draw(t, "class")
+				s.submit(fmt.Sprint("j", next), class, size)
+				next++
+			},
+			"time": func(t *rapid.T) {
+				s.now = s.now.Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "seconds")) * time.Second)
+				for id, w := range s.workers {
+					if lost[id].IsZero() {
+						s.step(placement.Joined{Now: s.now, Worker: w})
+					} else if s.now.Sub(lost[id]) >= placement.Defaults().Lease {
+						s.evict(id) // the worker stopped its jobs when its lease ended
+					}
+				}
+				s.step(placement.Time{Now: s.now})
+			},
+			"start":  func(t *rapid.T) { s.step(placement.Started{Now: s.now, Job: running(t)}) },
+			"finish": func(t *rapid.T) { s.end(placement.Finished{Now: s.now, Job: running(t), Peak: small}) },
+			"fail":   func(t *rapid.T) { s.fail(running(t)) },
+			"cancel": func(t *rapid.T) { s.step(placement.Cancel{Now: s.now, Jobs: []string{pick(t)}}) },
+			"use": func(t *rapid.T) {
+				id := running(t)
+				seen := placement.Size{Cores: float64(rapid.IntRange(1, 40).Draw(t, "cores")), Memory: float64(rapid.IntRange(1, 70).Draw(t, "memory"))}
+				s.step(placement.Used{Now: s.now, Jobs: map[string]placement.Size{id: seen}})
+			},
+			"save": func(*rapid.T) {
+				for _, id := range s.saving {
+					if lost[s.places[id]].IsZero() {
+						delete(s.places, id)
+						s.step(placement.Saved{Now: s.now, Job: id})
+					}
+				}
+				s.saving = nil
+			},
+			"lose": func(t *rapid.T) {
+				id := rapid.SampledFrom([]string{"w000", "w001"}).Draw(t, "worker")
+				if lost[id].IsZero() {
+					lost[id] = s.now
+				}
+			},
+			"": func(t *rapid.T) {
+				var sum placement.Size
+				for id := range s.places {
+					sum = sum.Plus(s.sizes[id])
+				}
+				limit := placement.Size{Cores: float64(quota.Cores), Memory: float64(quota.Memory)}
+				if s.fault == nil && !sum.Fits(limit) {
+					s.fault = fmt.Errorf("the team holds %+v of its quota", sum)
+				}
+				if s.fault != nil {
+					t.Fatal(s.fault)
+				}
+			},
+		})
+	})
+}
+
+// fail ends a start that has not been reported as successful; the decision ignores any other.
+func (s *site) fail(id string) {
+	before := s.places[id]
+	s.step(placement.Failed{Now: s.now, Job: id})
+	if s.state.Place(id) != before {
+		delete(s.places, id)
+	}
+}
+
+func (s *site) end(m placement.Finished) {
+	delete(s.places, m.Job)
+	s.step(m)
+}
+
+func (s *site) evict(worker string) {
+	for id, at := range s.places {
+		if at == worker {
+			delete(s.places, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decision/placement/size.go
@@ -0,0 +1,44 @@
+package placement
+
+import "fmt"
+
+// Plus returns the sum.
+func (s Size) Plus(o Size) Size {
+	return Size{Cores: s.Cores + o.Cores, Memory: s.Memory + o.Memory, Accelerators: s.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference.
+func (s Size) Minus(o Size) Size {
+	return Size{Cores: s.Cores - o.Cores, Memory: s.Memory - o.Memory, Accelerators: s.Accelerators - o.Accelerators}
+}
+
+// tolerance absorbs rounding in sums of fractional sizes.
+const tolerance = 1e-6
+
+// Fits returns whether s is within o in every resource.
+func (s Size) Fits(o Size) bool {
+	return s.Cores <= o.Cores+tolerance && s.Memory <= o.Memory+tolerance && s.Accelerators <= o.Accelerators
+}
+
+// most returns the larger of each resource.
+func (s Size) most(o Size) Size {
+	return Size{
+		Cores:        max(s.Cores, o.Cores),
+		Memory:       max(s.Memory, o.Memory),
+		Accelerators: max(s.Accelerators, o.Accelerators),
+	}
+}
+
+// excess names the first resource in which s is over a limit, or returns "".
+func (s Size) excess(limit Size, whose string) string {
+	switch {
+	case s.Cores > limit.Cores+tolerance:
+		return fmt.Sprintf("needs %g cores, more than the %g of %s", s.Cores, limit.Cores, whose)
+	case s.Memory > limit.Memory+tolerance:
+		return fmt.Sprintf("needs %g GB memory, more than the %g of %s", s.Memory, limit.Memory, whose)
+	case s.Accelerators > limit.Accelerators:
+		return fmt.Sprintf("needs %d accelerators, more than the %d of %s", s.Accelerators, limit.Accelerators, whose)
+	default:
+		return ""
+	}
+}
