--- a/internal/decision/entry/state.go
+++ b/internal/decision/entry/state.go
@@ -16,33 +16,37 @@
 const (
 	leaseMargin = 200 * time.Millisecond // for clock rates and scheduling, before a lease can expire
 	staticDelay = 3 * time.Second        // after the lease: by then an owner with the platform has seen it expire
-	drainLimit  = 30 * time.Second       // longest request deadline
+	linger      = 30 * time.Second       // how long a grant can outlive its request's deadline
+	drainLimit  = 60 * time.Second       // longest life of a grant
 )
 
 // State is the immutable state of one entry instance.
 type State struct {
-	self      string
-	zone      string
-	fleet     fleet.Fleet
-	index     correct.Index
-	counts    correct.Counts
-	member    member.State
-	forward   forward.State
-	dispatch  map[string]dispatch.State  // by service that this entry instance owns
-	starting  map[string]epoch           // epochs that wait for their claim to be read
-	clearing  map[string]epoch           // ended epochs whose grants are still in flight
-	cleared   map[string]uint64          // epoch whose grants all came back, by service
-	static    map[string]bool            // services served from static shares
-	instances map[string]record.Instance // by identifier
-	reports   map[string]report          // in-flight requests of services by executor
-	listed    map[string]message.Listing // by identifier; nil before the first list
+	self       string
+	zone       string
+	fleet      fleet.Fleet
+	index      correct.Index
+	counts     correct.Counts
+	member     member.State
+	forward    forward.State
+	dispatch   map[string]dispatch.State  // by service that this entry instance owns
+	starting   map[string]epoch           // epochs that wait for their claim to be read
+	clearing   map[string]epoch           // ended epochs whose grants are still in flight
+	cleared    map[string]uint64          // epoch whose grants all came back, by service
+	unanswered time.Time                  // when the latest keep-alive without an answer was sent
+	static     map[string]bool            // services served from static shares
+	instances  map[string]record.Instance // by identifier
+	backups    map[message.ID]backup      // grants that owners gave to requests of their own
+	reports    map[string]report          // in-flight requests of services by executor
+	listed     map[string]message.Listing // by identifier; nil before the first list
 }
 
 // epoch is what is remembered of an epoch outside its dispatch state.
 type epoch struct {
-	number uint64
-	shared []string
-	grants map[message.ID]time.Time // deadlines of grants in flight
+	number  uint64
+	shared  []string              // members of the previous owner record
+	current []string              // members of this epoch's owner record
+	grants  map[message.ID]backup // in flight
 }
 
 // report is what a service's owner last said about its executors.
@@ -84,6 +88,7 @@
 		static:    map[string]bool{},
 		instances: map[string]record.Instance{},
 		reports:   map[string]report{},
+		backups:   map[message.ID]backup{},
 	}
 }
 
@@ -152,13 +157,13 @@
 	return ok && l.State == "live"
 }
 
-func with[V any](m map[string]V, key string, value V) map[string]V {
+func with[K comparable, V any](m map[K]V, key K, value V) map[K]V {
 	c := maps.Clone(m)
 	c[key] = value
 	return c
 }
 
-func without[V any](m map[string]V, key string) map[string]V {
+func without[K comparable, V any](m map[K]V, key K) map[K]V {
 	if _, ok := m[key]; !ok {
 		return m
 	}
--- a/internal/link/route/duty.go
+++ b/internal/link/route/duty.go
@@ -73,7 +73,7 @@
 // arm sets the timer to the decision's next deadline.
 func (d *duty) arm(timer *time.Timer) {
 	now := d.clock()
-	wake := d.state.NextWake(now)
+	wake := d.state.NextWake()
 	if wake.IsZero() {
 		timer.Reset(time.Hour)
 		return
@@ -93,7 +93,7 @@
 			delete(d.replies, e.ID)
 		}
 	case message.Received, message.Linked, message.Configured, message.Changed,
-		message.Listed, message.Renewed, message.Written, message.Inspect:
+		message.Listed, message.Renewed, message.Written, message.Inspect, message.Unanswered:
 	}
 	d.step(ctx, entry.Event{Now: d.clock(), Event: e})
 }
