--- a/internal/link/caller/exchange.go
+++ b/internal/link/caller/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -33,7 +32,7 @@
 	for {
 		verdict, err := x.reply.Pull(ctx)
 		if err != nil {
-			x.abandon(ctx)
+			x.abandon()
 			return
 		}
 		if x.follow(ctx, verdict) {
@@ -58,7 +57,7 @@
 		x.write(answer{status: v.Answer.Status, header: v.Answer.Header, body: v.Answer.Body})
 		return true
 	case message.Settle:
-		x.settle(ctx)
+		x.settle()
 		return true
 	default:
 		panic(fmt.Sprintf("caller: verdict %T is not handled", verdict))
@@ -68,10 +67,12 @@
 // send performs one send and reports its end; it returns false when another verdict follows.
 func (x *exchange) send(ctx context.Context, v message.Send) bool {
 	if ctx.Err() != nil {
-		x.abandon(ctx)
+		x.abandon()
 		return true
 	}
-	sending, cancel := x.sendContext(ctx)
+	// The caller's departure does not end the send: the executor may run on, so its slot is not free,
+	// and the answer to a non-idempotent request is kept for the repeated key.
+	sending, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), x.request.Deadline, errDeadline)
 	defer cancel()
 	out, err := outgoing(x.caller, x.request, v.Service, x.body, time.Until(x.request.Deadline))
 	if err != nil {
@@ -97,20 +98,11 @@
 	return true
 }
 
-// sendContext ends with the deadline, and with the caller's departure only for an idempotent request:
-// the answer to another one is kept for the repeated request.
-func (x *exchange) sendContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	if x.request.Idempotent {
-		return context.WithCancel(ctx)
-	}
-	return context.WithDeadlineCause(context.WithoutCancel(ctx), x.request.Deadline, errDeadline)
-}
-
 // failed reports a failed send; it returns false when another verdict is asked for.
 func (x *exchange) failed(ctx context.Context, outcome message.Outcome, took time.Duration, cause error) bool {
 	x.ran = x.ran || outcome != message.NotRun
 	x.fault = cause.Error()
-	retry := (outcome == message.NotRun || x.request.Idempotent) && ctx.Err() == nil
+	retry := (outcome == message.NotRun || x.request.Idempotent) && ctx.Err() == nil && !x.expired()
 	x.link.log.Debug("send failed", "event", "caller.send", "request", x.request.ID.String(),
 		"outcome", outcome.String(), "retry", retry, "error", cause)
 	x.finish(message.Finish{Outcome: outcome, RunTime: took, Retry: retry})
@@ -118,7 +110,7 @@
 		x.link.meters.retried.Inc(1)
 		return false
 	}
-	x.settle(ctx)
+	x.settle()
 	return true
 }
 
@@ -138,9 +130,9 @@
 }
 
 // abandon withdraws a request that waits for a verdict.
-func (x *exchange) abandon(ctx context.Context) {
+func (x *exchange) abandon() {
 	x.report(message.Abandon{ID: x.request.ID})
-	x.settle(ctx)
+	x.settle()
 }
 
 // refuse answers with a refusal; after a send that may have run the outcome stays unknown.
@@ -153,17 +145,22 @@
 }
 
 // settle answers when no further send follows.
-func (x *exchange) settle(ctx context.Context) {
+func (x *exchange) settle() {
 	switch {
 	case x.ran:
 		x.fail(unknown(x.fault))
-	case errors.Is(context.Cause(ctx), errDeadline):
+	case x.expired():
 		x.fail(refused(message.Refusal{Reason: message.ReasonDeadline, Detail: x.fault}))
 	default:
 		x.fail(refused(message.Refusal{Reason: reasonSend, Detail: x.fault, RetryAfter: busyRetry}))
 	}
 }
 
+// expired tells whether the deadline passed; ctx may end a moment after a send that has the same deadline.
+func (x *exchange) expired() bool {
+	return !time.Now().Before(x.request.Deadline)
+}
+
 // fail answers without an executor's answer.
 func (x *exchange) fail(f failure) {
 	switch f.outcome {
--- a/internal/link/operator/status.go
+++ b/internal/link/operator/status.go
@@ -1,27 +1,25 @@
 package operator
 
 import (
-	"cmp"
 	"encoding/json"
-	"slices"
 
 	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/decision/correct"
 	"teaselloft/internal/model/fleet"
-	"teaselloft/internal/model/message"
 	"teaselloft/internal/model/record"
 )
 
 // Status is the summary that /status and the page show.
 type Status struct {
-	Name         string                `json:"name"`
-	Zone         string                `json:"zone"`
-	Site         string                `json:"site"`
-	Config       uint64                `json:"config"`
-	Members      []record.Member       `json:"members"`
-	Services     []ServiceStatus       `json:"services"`
-	Pools        []PoolStatus          `json:"pools"`
-	Waves        []record.Wave         `json:"waves,omitempty"`
-	Misspellings []message.Misspelling `json:"misspellings,omitempty"`
+	Name         string          `json:"name"`
+	Zone         string          `json:"zone"`
+	Site         string          `json:"site"`
+	Config       uint64          `json:"config"`
+	Members      []record.Member `json:"members"`
+	Services     []ServiceStatus `json:"services"`
+	Pools        []PoolStatus    `json:"pools"`
+	Waves        []record.Wave   `json:"waves,omitempty"`
+	Misspellings []correct.Tally `json:"misspellings,omitempty"`
 }
 
 // ServiceStatus is the part of a Status about one service.
@@ -43,11 +41,8 @@
 	States    map[string]int `json:"states"`
 }
 
-// topMisspellings is how many misspelled names a status lists.
-const topMisspellings = 20
-
 // newStatus composes the status of a process from its view and its state dump.
-func newStatus(s kernel.Settings, v View, misspellings []message.Misspelling) Status {
+func newStatus(s kernel.Settings, v View, misspellings []correct.Tally) Status {
 	return Status{
 		Name:         s.Name,
 		Zone:         s.Zone,
@@ -107,21 +102,20 @@
 	return s
 }
 
+// routeSection names the routing duty's section of the state dump.
+const routeSection = "route"
+
 // misspellings reads the most frequent misspelled names from the routing duty's section of the dump.
-func misspellings(state map[string]any) []message.Misspelling {
-	data, err := json.Marshal(state[message.RouteSection])
+func misspellings(state map[string]any) []correct.Tally {
+	data, err := json.Marshal(state[routeSection])
 	if err != nil {
 		return nil
 	}
 	var section struct {
-		Misspellings []message.Misspelling `json:"misspellings"`
+		Misspellings []correct.Tally `json:"misspellings"`
 	}
 	if err := json.Unmarshal(data, &section); err != nil {
 		return nil
 	}
-	top := section.Misspellings
-	slices.SortFunc(top, func(a, b message.Misspelling) int {
-		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Name, b.Name))
-	})
-	return top[:min(len(top), topMisspellings)]
+	return section.Misspellings
 }
--- a/internal/model/message/explain.go
+++ b/internal/model/message/explain.go
@@ -33,14 +33,3 @@
 	// Cut replaces the cut towards one entry instance; one without a direction ends it.
 	Cut(c Cut)
 }
-
-// RouteSection names the routing duty's section of the state dump; its field "misspellings" lists Misspelling values.
-const RouteSection = "route"
-
-// Misspelling counts the requests for one name that no service has.
-type Misspelling struct {
-	Name    string `json:"name"`
-	Service string `json:"service,omitempty"` // it was corrected to, empty when it was refused
-	Rule    string `json:"rule,omitempty"`
-	Count   uint64 `json:"count"`
-}
--- a/internal/proof/process/load.go
+++ b/internal/proof/process/load.go
@@ -37,8 +37,8 @@
 	Clients    int
 	Pause      time.Duration // between two requests of a client
 	Seed       uint64
-	Attempts   int                  // with one idempotency key
-	Idempotent float64              // share of idempotent requests
+	Attempts   int                    // with one idempotency key
+	Idempotent float64                // share of idempotent requests
 	Entries    func(c *rand.Rand) int // which entry instance takes the next attempt
 }
 
