--- a/internal/link/endpoint/attempt.go
+++ b/internal/link/endpoint/attempt.go
@@ -9,12 +9,13 @@
 type attempt struct {
 	table   *table
 	address string
+	head    bool // the method is HEAD
 
 	mutex sync.Mutex
 	conn  *conn
-	turn  uint64
-	stale bool // the connection took no new request
-	spent bool // an earlier connection of this attempt took a byte
+	turn  *turn // nil when the connection took no new request
+	stale bool  // the connection was an old one
+	spent bool  // an earlier connection of this attempt took a byte
 }
 
 // gotConn is called by the transport before it writes to the connection.
@@ -26,14 +27,15 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.conn != nil {
-		// Only a replay by the transport asks for a second connection; it stays sealed.
-		a.spent = a.conn.seal() || a.spent
-		a.conn, a.stale = c, true
+		// Only a replay by the transport asks for a second connection, which must stay silent.
+		a.spent = a.seal()
+		c.open(false, false)
+		a.conn, a.turn, a.stale = c, nil, true
 		return
 	}
 	a.conn = c
-	a.turn, ok = a.table.begin(c)
-	a.stale = !ok || info.Reused
+	a.turn = a.table.begin(c, a.head)
+	a.stale = a.turn == nil || info.Reused
 	a.table.leave(a.address)
 }
 
@@ -45,9 +47,27 @@
 		a.table.leave(a.address)
 		return false
 	}
-	written = a.conn.seal() || a.spent
-	_ = a.conn.Close()
-	return written
+	return a.seal()
+}
+
+// seal forbids further writes and closes the connection, unless it went on to another attempt; the mutex is held.
+func (a *attempt) seal() (written bool) {
+	if a.turn == nil {
+		_ = a.conn.Close()
+		return a.spent
+	}
+	written, own := a.conn.seal(a.turn)
+	if own {
+		_ = a.conn.Close()
+	}
+	return written || a.spent
+}
+
+// wrote reports whether a byte of the request may have been written.
+func (a *attempt) wrote() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.turn != nil && a.conn.wrote(a.turn)
 }
 
 // finish ends the attempt after the whole answer arrived.
--- /dev/null
+++ b/internal/link/endpoint/outcome_test.go
@@ -0,0 +1,312 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"teaselloft/internal/model/message"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// ledger counts the executions of each key.
+type ledger struct {
+	mutex sync.Mutex
+	runs  map[string]int
+}
+
+func (l *ledger) run(key string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.runs[key]++
+}
+
+func (l *ledger) count(key string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.runs[key]
+}
+
+// Guards invariants 4 and 5 where connections are closed while requests are written to them: an answered request ran
+// once, one that was not run ran never, an unknown one at most once.
+//
+// It fails when onceBody returns nil for an empty body (the transport sends requests twice), and when fail or wrote
+// report that no byte was written after a failed send.
+func TestOutcomesAreTrueWhenConnectionsClose(t *testing.T) {
+	c := qt.New(t)
+	p := start(t, `{}`)
+	runs := &ledger{runs: map[string]int{}}
+	address := raw(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for range 1 + rand.IntN(6) {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			runs.run(r.URL.Path)
+			switch rand.IntN(8) {
+			case 0:
+				return // ran, but the answer is lost
+			case 1:
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nhalf")
+				return
+			}
+			if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path); err != nil {
+				return
+			}
+		}
+		time.Sleep(time.Duration(rand.IntN(200)) * time.Microsecond)
+	})
+	const senders, each = 12, 300
+	var group sync.WaitGroup
+	var totals [3]int
+	var mutex sync.Mutex
+	for s := range senders {
+		group.Go(func() {
+			for i := range each {
+				path := fmt.Sprintf("/s/%d-%d", s, i)
+				method := []string{"POST", "GET", "PUT", "HEAD", "PATCH"}[i%5]
+				var body []byte
+				if i%2 == 0 && method != "GET" && method != "HEAD" {
+					body = make([]byte, rand.IntN(8000))
+				}
+				got, outcome, err := p.send(address, request(method, path, body, path))
+				ran := runs.count(path)
+				switch outcome {
+				case message.Answered:
+					c.Check(err, qt.IsNil)
+					c.Check(ran, qt.Equals, 1, qt.Commentf("%s answered", method))
+					if method != "HEAD" {
+						c.Check(got, qt.Equals, path)
+					}
+				case message.NotRun:
+					c.Check(ran, qt.Equals, 0, qt.Commentf("%s not run: %v", method, err))
+				case message.Unknown:
+					c.Check(ran <= 1, qt.IsTrue, qt.Commentf("%s unknown ran %d times: %v", method, ran, err))
+				}
+				mutex.Lock()
+				totals[outcome]++
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	c.Logf("answered %d, not run %d, unknown %d", totals[message.Answered], totals[message.NotRun], totals[message.Unknown])
+	for path, n := range runs.runs { // also what ran after its outcome was reported
+		c.Check(n <= 1, qt.IsTrue, qt.Commentf("%s ran %d times", path, n))
+	}
+	c.Check(totals[message.Answered] > senders*each/2, qt.IsTrue)
+}
+
+// Guards invariant 4 where sends are cancelled at any moment: a write must not follow a report of not run.
+//
+// It fails when fail does not seal the connection.
+func TestOutcomesAreTrueWhenSendsAreCancelled(t *testing.T) {
+	c := qt.New(t)
+	p := start(t, `{}`)
+	runs := &ledger{runs: map[string]int{}}
+	address := serve(t, func(_ http.ResponseWriter, r *http.Request) { runs.run(r.URL.Path) }, nil)
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	var idle []string
+	for s := range 10 {
+		group.Go(func() {
+			for i := range 300 {
+				path := fmt.Sprintf("/s/%d-%d", s, i)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rand.IntN(400))*time.Microsecond)
+				_, outcome, _ := p.sendContext(ctx, address, request("POST", path, nil, path))
+				cancel()
+				if outcome == message.NotRun {
+					mutex.Lock()
+					idle = append(idle, path)
+					mutex.Unlock()
+				}
+			}
+		})
+	}
+	group.Wait()
+	c.Logf("not run %d of 3000", len(idle))
+	time.Sleep(50 * time.Millisecond) // lets late executions happen
+	for _, path := range idle {
+		c.Check(runs.count(path), qt.Equals, 0, qt.Commentf("%s was reported as not run", path))
+	}
+}
+
+// Guards invariant 3: the answer to one request must never be taken for the answer to the next one.
+func TestLateAnswersReachNobody(t *testing.T) {
+	c := qt.New(t)
+	p := start(t, `{}`)
+	address := raw(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+		}
+	})
+	for i := range 500 {
+		path := fmt.Sprintf("/s/%d", i)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+rand.IntN(2))*time.Millisecond)
+		got, outcome, _ := p.sendContext(ctx, address, request("GET", path, nil, ""))
+		cancel()
+		if outcome == message.Answered {
+			c.Assert(got, qt.Equals, path)
+		}
+	}
+}
+
+// twice answers each request and sends a second answer after a pause.
+func twice(pause time.Duration) func(net.Conn) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+	return func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			text := fmt.Sprintf(answer, len(r.URL.Path), r.URL.Path)
+			surplus := fmt.Sprintf(answer, len("surplus"), "surplus")
+			if pause == 0 {
+				_, _ = io.WriteString(conn, text+surplus)
+				continue
+			}
+			_, _ = io.WriteString(conn, text)
+			time.Sleep(pause)
+			_, _ = io.WriteString(conn, surplus)
+		}
+	}
+}
+
+// Guards invariant 3 against executors that send more than one answer to a request.
+//
+// It fails when conn.Read passes on the bytes after an answer.
+func TestSurplusAnswersReachNobody(t *testing.T) {
+	c := qt.New(t)
+	p := start(t, `{}`)
+	address := raw(t, twice(0))
+	var group sync.WaitGroup
+	var answered atomic.Int64
+	for s := range 20 {
+		group.Go(func() {
+			for i := range 100 {
+				path := fmt.Sprintf("/s/%d-%d", s, i)
+				got, outcome, err := p.send(address, request("GET", path, nil, ""))
+				// A send that finds only spoiled connections is not run.
+				c.Check(outcome, qt.Not(qt.Equals), message.Unknown, qt.Commentf("%v", err))
+				if outcome == message.Answered {
+					answered.Add(1)
+					c.Check(got, qt.Equals, path)
+				}
+			}
+		})
+	}
+	group.Wait()
+	c.Logf("answered %d of 2000", answered.Load())
+	c.Check(answered.Load() > 1000, qt.IsTrue)
+	// The second answer arrives while the connection is idle.
+	address = raw(t, twice(time.Millisecond))
+	for i := range 20 {
+		path := fmt.Sprintf("/s/%d", i)
+		got, outcome, err := p.send(address, request("GET", path, nil, ""))
+		c.Check(outcome, qt.Equals, message.Answered, qt.Commentf("%v", err))
+		c.Check(got, qt.Equals, path)
+		eventually(c, "no connection", func() bool { return p.usage(c, address).Open == 0 })
+	}
+}
+
+// Guards against an answer whose end is found too early or too late, however its bytes arrive.
+func TestAnswerFormsInPieces(t *testing.T) {
+	c := qt.New(t)
+	p := start(t, `{}`)
+	const large = 100000
+	for i, form := range []struct{ method, answer, body string }{
+		{"GET", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "hello"},
+		{"GET", "HTTP/1.1 200 OK\ncontent-length:5\n\nhello", "hello"},
+		{"GET", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok"},
+		{"GET", "HTTP/1.1 204 No Content\r\n\r\n", ""},
+		{"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", ""},
+		{"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", ""},
+		{"GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""},
+		{"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\nA\r\n0123456789\r\n0\r\n\r\n", "hello0123456789"},
+		{"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n\r\n2\r\nok\r\n0\r\nT: v\r\n\r\n", "ok"},
+		{"GET", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", large, strings.Repeat("y", large)), strings.Repeat("y", large)},
+	} {
+		var connections atomic.Int64
+		address := raw(t, func(conn net.Conn) {
+			connections.Add(1)
+			reader := bufio.NewReader(conn)
+			for {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				for rest := form.answer; rest != ""; {
+					n := 1 + rand.IntN(min(len(rest), 1+len(form.answer)/7))
+					if _, err := io.WriteString(conn, rest[:n]); err != nil {
+						return
+					}
+					rest = rest[n:]
+				}
+			}
+		})
+		for range 20 {
+			got, outcome, err := p.send(address, request(form.method, "/s", nil, ""))
+			c.Assert(outcome, qt.Equals, message.Answered, qt.Commentf("form %d: %v", i, err))
+			c.Assert(got == form.body, qt.IsTrue, qt.Commentf("form %d", i))
+		}
+		c.Check(connections.Load(), qt.Equals, int64(1), qt.Commentf("form %d was taken for an answer without an end", i))
+	}
+}
+
+// Guards against answers whose end is unknown, or that arrive before the request.
+func TestImplausibleAnswers(t *testing.T) {
+	c := qt.New(t)
+	p := start(t, `{}`)
+	for name, test := range map[string]struct {
+		address string
+		outcome message.Outcome
+	}{
+		"no length": {raw(t, func(conn net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nno end")
+		}), message.Unknown},
+		"before the request": {raw(t, func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+			time.Sleep(10 * time.Millisecond)
+		}), message.Unknown},
+		"not HTTP": {raw(t, func(conn net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "hello\r\n\r\n")
+		}), message.Unknown},
+		"closed at once": {raw(t, func(net.Conn) {}), message.Unknown},
+	} {
+		_, outcome, err := p.send(test.address, request("POST", "/s", []byte("b"), "k"))
+		c.Check(err, qt.IsNotNil, qt.Commentf("%s", name))
+		c.Check(outcome != message.Answered, qt.IsTrue, qt.Commentf("%s", name))
+		if name == "no length" || name == "not HTTP" {
+			c.Check(outcome, qt.Equals, test.outcome, qt.Commentf("%s", name))
+		}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	_ = l.Close()
+	_, outcome, err := p.send(l.Addr().String(), request("POST", "/s", nil, "k"))
+	c.Check(err, qt.IsNotNil)
+	c.Check(outcome, qt.Equals, message.NotRun)
+}
--- a/internal/link/endpoint/sender.go
+++ b/internal/link/endpoint/sender.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, message.NotRun, false, err
 	}
-	a := &attempt{table: s.table, address: to.Address}
+	a := &attempt{table: s.table, address: to.Address, head: r.Method == http.MethodHead}
 	s.table.wait(to.Address, to.ID)
 	trace := &httptrace.ClientTrace{GotConn: a.gotConn}
 	resp, err = s.transport.RoundTrip(s.prepare(httptrace.WithClientTrace(ctx, trace), to, r, body)) //nolint:bodyclose // closed by the caller of Send or by check
@@ -131,7 +131,7 @@
 func (a *attempt) check(r *http.Request, resp *http.Response) error {
 	var err error
 	switch {
-	case !a.conn.wrote():
+	case !a.wrote():
 		err = ErrPremature
 	case r.Method == http.MethodHead || resp.Body == http.NoBody:
 		return nil
--- a/internal/link/endpoint/settings.go
+++ b/internal/link/endpoint/settings.go
@@ -34,7 +34,7 @@
 )
 
 // maxStale bounds how many connections that turn out closed before a byte is written one Send passes over.
-const maxStale = 3
+const maxStale = 5
 
 // updateCapacity is the length of the ring of bound updates; publishers wait when it is full.
 const updateCapacity = 256
--- a/internal/link/endpoint/table.go
+++ b/internal/link/endpoint/table.go
@@ -67,35 +67,37 @@
 func (t *table) add(address string, c net.Conn) *conn {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	w := &conn{Conn: c, table: t, executor: address, created: time.Now(), sealed: true}
+	w := &conn{Conn: c, table: t, executor: address, created: time.Now()}
 	t.executor(address).conns[w] = struct{}{}
 	return w
 }
 
-// begin gives a connection to an attempt; it reports false when the connection takes no new request.
-func (t *table) begin(c *conn) (turn uint64, ok bool) {
+// begin gives a connection to an attempt; it returns nil when the connection takes no new request.
+func (t *table) begin(c *conn, head bool) *turn {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if c.retired || c.closed || time.Since(c.created) > t.age {
-		c.retired = true
-		return 0, false
-	}
+	fit := !c.retired && !c.closed && time.Since(c.created) <= t.age
+	started := c.open(fit, head)
+	c.retired = c.retired || started == nil
 	c.busy = true
-	c.turn++
-	c.open()
-	return c.turn, true
+	return started
 }
 
 // release ends an attempt whose whole answer arrived.
-func (t *table) release(c *conn, turn uint64) {
+func (t *table) release(c *conn, ended *turn) {
 	t.mutex.Lock()
-	if c.turn != turn {
+	own, fit := c.end(ended)
+	if !own {
 		t.mutex.Unlock()
 		return
 	}
 	c.busy = false
-	c.seal()
-	surplus := t.trim(c.executor, t.executor(c.executor))
+	var surplus []*conn
+	if !fit && !c.retired {
+		c.retired = true
+		surplus = append(surplus, c)
+	}
+	surplus = append(surplus, t.trim(c.executor, t.executor(c.executor))...)
 	t.mutex.Unlock()
 	closeAll(surplus)
 }
