--- a/internal/command/process/ask_test.go
+++ b/internal/command/process/ask_test.go
@@ -21,7 +21,7 @@
 "services":[{"name":"flag-calendar","fleet":"flags","pool":"calendar","owner":"entry-2","epoch":3,"budget":9,"out":["cal-1"]}],
 "pools":[{"name":"calendar","fleet":"flags","instances":12,"states":{"serving":11,"draining":1}}],
 "waves":[{"id":"w-1","zone":"ka","most":2,"phase":"running"}],
-"misspellings":[{"name":"flag-calender","service":"flag-calendar","count":41},{"name":"falg","count":2}]}`
+"misspellings":[{"name":"flag-calender","service":"flag-calendar","corrected":41},{"name":"falg","refused":2}]}`
 
 // newListener stands in for an entry instance's operator listener.
 func newListener(c *qt.C) string {
--- a/internal/command/process/status.go
+++ b/internal/command/process/status.go
@@ -10,7 +10,7 @@
 
 	"teaselloft/internal/command/option"
 	"teaselloft/internal/core/command"
-	"teaselloft/internal/model/message"
+	"teaselloft/internal/decision/correct"
 	"teaselloft/internal/model/record"
 
 	"github.com/urfave/cli/v3"
@@ -31,15 +31,15 @@
 
 // summary is what the operator listener answers at /status.
 type summary struct {
-	Name         string                `json:"name"`
-	Zone         string                `json:"zone"`
-	Site         string                `json:"site"`
-	Config       uint64                `json:"config"`
-	Members      []record.Member       `json:"members"`
-	Services     []service             `json:"services"`
-	Pools        []pool                `json:"pools"`
-	Waves        []record.Wave         `json:"waves,omitempty"`
-	Misspellings []message.Misspelling `json:"misspellings,omitempty"`
+	Name         string          `json:"name"`
+	Zone         string          `json:"zone"`
+	Site         string          `json:"site"`
+	Config       uint64          `json:"config"`
+	Members      []record.Member `json:"members"`
+	Services     []service       `json:"services"`
+	Pools        []pool          `json:"pools"`
+	Waves        []record.Wave   `json:"waves,omitempty"`
+	Misspellings []correct.Tally `json:"misspellings,omitempty"`
 }
 
 type service struct {
@@ -128,7 +128,7 @@
 		all[4].Rows = append(all[4].Rows, []string{w.ID, string(w.Phase), selection(w), strconv.Itoa(w.Most)})
 	}
 	for _, m := range s.Misspellings {
-		all[5].Rows = append(all[5].Rows, []string{m.Name, option.Dash(m.Service), fmt.Sprint(m.Count)})
+		all[5].Rows = append(all[5].Rows, []string{m.Name, option.Dash(m.Service), fmt.Sprint(m.Total())})
 	}
 	return slices.DeleteFunc(all, func(t option.Table) bool { return len(t.Rows) == 0 })
 }
--- a/internal/decision/dispatch/choice_test.go
+++ b/internal/decision/dispatch/choice_test.go
@@ -126,7 +126,7 @@
 		}
 	case message.Grant:
 		w.use(p, c, f)
-	case message.Ask, message.Release, message.Withdraw, message.Holding, message.Heartbeat, message.Fetch, message.Stored:
+	case message.Ask, message.Release, message.Withdraw, message.Holding, message.Cleared, message.Backup, message.Forget, message.Inquire, message.Report, message.Fetch, message.Stored:
 		w.broken("epoch %d sends %T", p.epoch, f)
 	default:
 		panic(fmt.Sprintf("unknown frame %T", f))
--- a/internal/decision/entry/view.go
+++ b/internal/decision/entry/view.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"teaselloft/internal/decision/correct"
 	"teaselloft/internal/decision/dispatch"
 	"teaselloft/internal/decision/forward"
-	"teaselloft/internal/model/message"
 	"teaselloft/internal/model/record"
 )
 
@@ -23,7 +23,7 @@
 	Requests     map[string]forward.Count   `json:"requests"`
 	Dispatch     map[string]dispatch.View   `json:"dispatch"`
 	Instances    map[string]record.Instance `json:"instances"`
-	Misspellings []message.Misspelling      `json:"misspellings"`
+	Misspellings []correct.Tally            `json:"misspellings"`
 }
 
 // View returns the state's dump at the time now.
@@ -37,7 +37,7 @@
 		Requests:     s.forward.Counts(),
 		Dispatch:     map[string]dispatch.View{},
 		Instances:    s.instances,
-		Misspellings: s.misspellings(),
+		Misspellings: s.counts.Top(topMisspellings),
 	}
 	for _, name := range s.services() {
 		if o, ok := s.member.Owner(name); ok {
@@ -52,13 +52,3 @@
 	}
 	return v
 }
-
-// misspellings returns the most frequent misspelled names with the service of their latest correction.
-func (s State) misspellings() []message.Misspelling {
-	top := s.counts.Top(topMisspellings)
-	names := make([]message.Misspelling, 0, len(top))
-	for _, t := range top {
-		names = append(names, message.Misspelling{Name: t.Name, Service: t.Service, Count: t.Total()})
-	}
-	return names
-}
--- a/internal/decision/entry/world_test.go
+++ b/internal/decision/entry/world_test.go
@@ -289,8 +289,10 @@
 			m.Err = message.ErrUnavailable
 		}
 		return func(now time.Time) entry.Message { m.Now = now; return m }
-	default:
+	case entry.Frame, entry.Notice, entry.Verdict:
 		panic(fmt.Sprintf("no store call: %T", c))
+	default:
+		panic(fmt.Sprintf("unknown effect %T", c))
 	}
 }
 
--- a/internal/proof/process/load.go
+++ b/internal/proof/process/load.go
@@ -118,7 +118,7 @@
 		c.Reason = err.Error()
 		return c
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
 		c.Reason = err.Error()
--- a/internal/proof/process/system.go
+++ b/internal/proof/process/system.go
@@ -148,7 +148,7 @@
 // freeBlock returns the first of n consecutive ports that were free a moment ago.
 func freeBlock(n int) (int, error) {
 	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := bind(0)
 		if err != nil {
 			return 0, err
 		}
@@ -161,9 +161,13 @@
 	return 0, fmt.Errorf("found no %d free ports in a row", n)
 }
 
+func bind(port int) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", fmt.Sprintf("127.0.0.1:%d", port))
+}
+
 func blockFree(first, n int) bool {
 	for p := first; p < first+n; p++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		l, err := bind(p)
 		if err != nil {
 			return false
 		}
@@ -211,8 +215,8 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
-	c := exec.Command(filepath.Join(s.options.Bin, binary), "daemon", filepath.Join(s.options.Dir, name+".json"))
+	defer func() { _ = log.Close() }()
+	c := exec.CommandContext(context.Background(), filepath.Join(s.options.Bin, binary), "daemon", filepath.Join(s.options.Dir, name+".json"))
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", name, err)
@@ -363,7 +367,7 @@
 	if err != nil {
 		return err
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
 		return err
