Prove failures against separate processes; remind members of an unanswered gather

Cause: after a killed owner restarted, its first gather frame was lost with an old link and the new epoch waited for it: 24 requests waited 10 s. Gathers are repeated after 250 ms, fetches given up after 1 s.

--- a/internal/decision/dispatch/epoch.go
+++ b/internal/decision/dispatch/epoch.go
@@ -16,7 +16,8 @@
 	joined   bool // answered a Gather of this epoch, so that its static share is of this epoch
 	up       bool
 	gone     bool
-	gathered uint64 // sequence of the latest Gather
+	gathered uint64    // sequence of the latest Gather
+	asked    time.Time // when the latest Gather was sent
 }
 
 // reserves reports whether the member may be using its static share.
@@ -64,7 +65,38 @@
 	m, _ := s.member(name)
 	m.answered = false
 	m.gathered = s.sequence
-	return s.withMember(m), Reply{To: name, Frame: message.Gather{Service: s.service.Name, Epoch: s.epoch}}
+	m.asked = s.now
+	return s.withMember(m), s.gatherFrame(name)
+}
+
+func (s State) gatherFrame(name string) Effect {
+	return Reply{To: name, Frame: message.Gather{Service: s.service.Name, Epoch: s.epoch}}
+}
+
+// remind gathers again from members whose answer is overdue: a frame is lost with its link.
+func (s State) remind() (State, []Effect) {
+	if s.phase == idle {
+		return s, nil
+	}
+	var effects []Effect
+	for _, m := range s.members {
+		if m.reminder(s.options).IsZero() || s.now.Before(m.reminder(s.options)) {
+			continue
+		}
+		// An answer to the first Gather does not list grants given since, so its sequence stays.
+		m.asked = s.now
+		s = s.withMember(m)
+		effects = append(effects, s.gatherFrame(m.name))
+	}
+	return s, effects
+}
+
+// reminder returns when the member is asked again, zero for never.
+func (m member) reminder(o Options) time.Time {
+	if m.asked.IsZero() || m.answered || m.gone || !m.up {
+		return time.Time{}
+	}
+	return m.asked.Add(o.Remind)
 }
 
 func (s State) member(name string) (member, bool) {
--- a/internal/decision/dispatch/options.go
+++ b/internal/decision/dispatch/options.go
@@ -15,6 +15,7 @@
 	Ejection     time.Duration // first ejection; doubles up to EjectionMost
 	EjectionMost time.Duration
 	Drain        time.Duration // longest life of a grant, after which an unreachable member's grants have ended
+	Remind       time.Duration // after which a member that has not told its grants is asked again
 	Linger       time.Duration // how long a grant outlives its request's deadline, while the executor may still run it
 	Retention    time.Duration // how long claims are kept
 	ClaimSize    int           // bytes of a claim value, above which its entries move to a segment
@@ -35,6 +36,7 @@
 		Ejection:     5 * time.Second,
 		EjectionMost: time.Minute,
 		Drain:        60 * time.Second, // the longest Request-Timeout and Linger
+		Remind:       250 * time.Millisecond,
 		Linger:       30 * time.Second,
 		Retention:    time.Hour,
 		ClaimSize:    32 << 10,
--- a/internal/decision/dispatch/view.go
+++ b/internal/decision/dispatch/view.go
@@ -156,6 +156,9 @@
 	if s.phase == gathering {
 		earlier(s.drained())
 	}
+	for _, m := range s.members {
+		earlier(m.reminder(s.options))
+	}
 	if s.queue.Len() > 0 {
 		for _, e := range s.executors {
 			earlier(e.until)
--- a/internal/decision/forward/owner.go
+++ b/internal/decision/forward/owner.go
@@ -10,6 +10,9 @@
 // linkRetry is the pause before an owner that could not be reached or was not ready is asked again.
 const linkRetry = 100 * time.Millisecond
 
+// fetchLimit bounds the wait for a stored answer, since the frames can be lost with their link.
+const fetchLimit = time.Second
+
 // ownerChanged asks the new owner for every request that has no grant yet.
 func (s State) ownerChanged(m Owner) (State, []Effect) {
 	service := m.Owner.Service
@@ -43,7 +46,7 @@
 	if m.Up {
 		return s, effects
 	}
-	return s.giveUpFetches(m.Entry, effects)
+	return s.giveUpFetches(effects, func(q request) bool { return q.holder == m.Entry })
 }
 
 // tick asks the owners behind broken links again, which makes the link dial.
@@ -60,12 +63,20 @@
 		s, more = s.askAgain(service, m.Now, func(q request) bool { return q.phase == waiting })
 		effects = append(effects, more...)
 	}
-	return s, effects
+	return s.giveUpFetches(effects, func(q request) bool { return m.Now.Sub(q.fetched) >= fetchLimit })
 }
 
 // NextWake returns when Tick is due, zero for never.
 func (s State) NextWake() time.Time {
 	var wake time.Time
+	if s.fetches > 0 {
+		for it := s.requests.Iterator(); !it.Done(); {
+			_, q, _ := it.Next()
+			if due := q.fetched.Add(fetchLimit); q.phase == fetching && (wake.IsZero() || due.Before(wake)) {
+				wake = due
+			}
+		}
+	}
 	for _, t := range s.owners {
 		if !t.retry.IsZero() && (wake.IsZero() || t.retry.Before(wake)) {
 			wake = t.retry
@@ -88,11 +99,14 @@
 	return s, effects
 }
 
-// giveUpFetches refuses the duplicates whose answer is behind a broken link.
-func (s State) giveUpFetches(entry string, effects []Effect) (State, []Effect) {
+// giveUpFetches refuses the duplicates whose answer will not come.
+func (s State) giveUpFetches(effects []Effect, match func(request) bool) (State, []Effect) {
+	if s.fetches == 0 {
+		return s, effects
+	}
 	for it := s.requests.Iterator(); !it.Done(); {
 		_, q, _ := it.Next()
-		if q.phase != fetching || q.holder != entry {
+		if q.phase != fetching || !match(q) {
 			continue
 		}
 		var more []Effect
--- a/internal/decision/forward/state.go
+++ b/internal/decision/forward/state.go
@@ -21,6 +21,7 @@
 	floors   map[string]uint64               // lowest epoch accepted by service
 	static   map[string][]Slot               // by service, empty unless allowed
 	keys     Keys
+	fetches  int     // requests in phase fetching
 	budget   float64 // retries that may still be made
 }
 
@@ -52,6 +53,7 @@
 	executor   string
 	static     bool
 	exclude    []string
+	fetched    time.Time       // when the answer was asked for
 	holder     string          // entry instance that may have the answer
 	refusal    message.Refusal // to give when the holder has none
 }
@@ -124,20 +126,27 @@
 }
 
 func (s State) withRequest(q request) State {
-	old, ok := s.requests.Get(q.request.ID.Sequence)
-	if ok && old.phase == waiting {
-		s.waiting--
-	}
-	if q.phase == waiting {
-		s.waiting++
-	}
+	s = s.withoutRequest(q.request.ID)
+	s = s.counted(q.phase, 1)
 	s.requests = s.requests.Set(q.request.ID.Sequence, q)
 	return s
 }
 
+// counted returns a copy whose counters of waiting and fetching requests differ by n for a request in the phase.
+func (s State) counted(p phase, n int) State {
+	switch p {
+	case waiting:
+		s.waiting += n
+	case fetching:
+		s.fetches += n
+	case asked, granted:
+	}
+	return s
+}
+
 func (s State) withoutRequest(id message.ID) State {
-	if old, ok := s.requests.Get(id.Sequence); ok && old.phase == waiting {
-		s.waiting--
+	if old, ok := s.requests.Get(id.Sequence); ok {
+		s = s.counted(old.phase, -1)
 	}
 	s.requests = s.requests.Delete(id.Sequence)
 	return s
--- a/internal/decision/forward/step.go
+++ b/internal/decision/forward/step.go
@@ -183,6 +183,7 @@
 		}
 		q.phase = fetching
 		q.holder = m.Deny.Holder
+		q.fetched = m.Now
 		q.refusal = m.Deny.Refusal
 		return s.withRequest(q), []Effect{Frame{To: m.Deny.Holder, Frame: message.Fetch{
 			ID: q.request.ID, Service: q.request.Service, Key: q.request.Key,
--- a/internal/proof/process/history.go
+++ b/internal/proof/process/history.go
@@ -25,7 +25,9 @@
 		}
 		for id, c := range counters {
 			for key, n := range c.Keys {
-				h.Executions[strings.Trim(key, `"`)] += n
+				if key = strings.Trim(key, `"`); key != "" {
+					h.Executions[key] += n
+				}
 			}
 			if c.Over > 0 {
 				h.Oversized[id] = c.Over
