Fall back to the version before a damaged configuration

An entry instance that started while the latest value was damaged had no configuration and refused all requests until the next change. Seen to fail first without the fall back.

--- a/internal/link/config/config_test.go
+++ b/internal/link/config/config_test.go
@@ -212,6 +212,26 @@
 	})
 }
 
+// Guards against an entry instance that starts without a configuration because the latest one is damaged.
+func TestFallsBackToVersionBeforeDamage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := start(c)
+		defer p.stop()
+		for i := range 4 {
+			p.apply(c, i+1)
+		}
+		head := p.apply(c, 5)
+		p.store.Damage(head.Deltas[2], "{")
+		p.refuse.Store(2)
+		p.tell(head)
+		settle(time.Minute)
+		c.Check(p.seen, qt.DeepEquals, []uint64{3})
+		c.Check(p.latest.Services[0].Slots, qt.Equals, 3)
+		c.Check(fmt.Sprintf("%+v", p.host.State()["config"]), qt.Matches, `{Version:3 .* Wanted:5 Error:.*cannot be decoded.*}`)
+	})
+}
+
 // Guards against a version that stays out of force after its value can be read again.
 func TestAdoptsRepairedVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/link/config/duty.go
+++ b/internal/link/config/duty.go
@@ -116,11 +116,13 @@
 		d.pauses.Reset()
 		return nil
 	}
-	d.report(d.status.load().withError(err))
 	if store.Damaged(err) {
 		d.keep(err)
+		d.fallBack(ctx)
+		d.report(d.status.load().withError(err))
 		return time.After(d.pauses.MaxInterval)
 	}
+	d.report(d.status.load().withError(err))
 	d.failed.Inc(1)
 	pause := d.pauses.NextBackOff()
 	d.log.Warn("configuration not read", "event", "config.retry", "version", d.wanted.Version, "pause", pause, "error", err)
@@ -137,6 +139,20 @@
 	d.log.Error("configuration kept", "event", "config.undecodable", "version", d.wanted.Version, "inforce", d.inForce(), "error", err)
 }
 
+// fallBack brings the newest version before a damaged one into force.
+//
+// Without it, every entry instance that starts while the latest value is damaged
+// would have no configuration and refuse all requests.
+func (d *duty) fallBack(ctx context.Context) {
+	reached, ok := d.assembly.Reached(d.inForce())
+	if !ok {
+		return
+	}
+	if err := d.publish(ctx, reached.Fleet); err != nil {
+		d.log.Warn("earlier version not published", "event", "config.fallback", "version", reached.Fleet.Version, "error", err)
+	}
+}
+
 // offer takes a configuration from another entry instance, for the time in which the platform does not answer.
 func (d *duty) offer(ctx context.Context, f fleet.Fleet) {
 	if err := d.publish(ctx, f); err != nil {
--- a/internal/settings/store/assemble.go
+++ b/internal/settings/store/assemble.go
@@ -28,6 +28,16 @@
 	return a.extend(ctx, s, chainOf(h), h.Version)
 }
 
+// Reached returns the newest version of the part read before an error, if it is above the given version.
+func (a Assembly) Reached(above uint64) (Assembly, bool) {
+	version, _, ok := parseKey(a.key)
+	if !ok || version <= above {
+		return Assembly{}, false
+	}
+	reached, err := a.decoded(version)
+	return reached, err == nil
+}
+
 func (a Assembly) extend(ctx context.Context, s Store, c chain, version uint64) (Assembly, error) {
 	a.Calls, a.Bytes = 0, 0
 	missing, known := a.missing(c)
