Check the failure domain of a budget

A domain that does not exist, or whose loss the pool cannot afford, was accepted. The first of two elements of one name counts, so that one fault does not show as several.

--- a/internal/settings/file/element.go
+++ b/internal/settings/file/element.go
@@ -28,11 +28,13 @@
 	return found
 }
 
-// index returns elements by their normalized names.
+// index returns elements by their normalized names, the first of those with one name.
 func index(list []element) map[string]element {
 	byName := make(map[string]element, len(list))
 	for _, e := range list {
-		byName[fleet.Normalize(e.name)] = e
+		if _, again := byName[fleet.Normalize(e.name)]; !again {
+			byName[fleet.Normalize(e.name)] = e
+		}
 	}
 	return byName
 }
--- a/internal/settings/file/read_test.go
+++ b/internal/settings/file/read_test.go
@@ -77,6 +77,8 @@
 		{"address twice", `127.0.0.1:9201`, `127.0.0.1:9101`, `"127.0.0.1:9101", "zone": "ka", "rack": "a1"}]`, `field "pools[rakes].instances[rake-1].address": address 127.0.0.1:9101 is used by instance "cal-1", too`},
 		{"address without port", `127.0.0.1:9201`, `localhost`, `"localhost"`, `field "pools[rakes].instances[rake-1].address": "localhost" is not an IP address with a port`},
 		{"budget", `"budget": {"available": 1}}`, `"budget": {"available": 2}}`, "2}}],\n\"corr", `field "services[rake-control].budget.available": pool "rakes" has 1 instances, the budget of 2 can never be met`},
+		{"domain", `"budget": {"available": 1}, "nearest"`, `"budget": {"available": 1, "domain": "row"}, "nearest"`, `"row"`, `field "services[flag-calendar].budget.domain": "row" is none of rack, zone and none`},
+		{"domain of a small pool", `"budget": {"available": 1}}`, `"budget": {"available": 1, "domain": "zone"}}`, `"zone"}}`, `field "services[rake-control].budget.domain": the loss of one zone leaves 0 instances of pool "rakes", the budget of 1 can never be met`},
 		{"pool of another fleet", `"pool": "rakes"`, `"pool": "calendar"`, `"calendar", "slots": 8, "connections": 64, "budget": {"available": 1}}`, `field "services[rake-control].pool": pool "calendar" is of fleet "flags", the service is of fleet "rist"`},
 		{"spare pool", `"pool": "rakes"`, `"pool": "backoffice"`, `"backoffice", "slots"`, `field "services[rake-control].pool": pool "backoffice" is the spare pool, no service runs in it`},
 		{"slash in a name", `"name": "rake-control"`, `"name": "rake/control"`, `"rake/control"`, `field "services[rake/control].name": may hold only letters, digits and the characters - _ .`},
@@ -92,6 +94,8 @@
 		c.Check(err, qt.ErrorIs, strict.ErrInvalid, qt.Commentf(test.name))
 		want := fmt.Sprintf("base.json:%s: %s", place(text, test.mark), test.want)
 		c.Check(faults(err), qt.Contains, want, qt.Commentf(test.name))
+		// A removed name is at most missed once more.
+		c.Check(len(faults(err)) <= 2, qt.IsTrue, qt.Commentf("%s: %q", test.name, faults(err)))
 	}
 }
 
--- a/internal/settings/file/validate_pool.go
+++ b/internal/settings/file/validate_pool.go
@@ -7,7 +7,6 @@
 	"unicode"
 	"unicode/utf8"
 
-	"teaselloft/internal/core/strict"
 	"teaselloft/internal/model/fleet"
 )
 
@@ -96,7 +95,11 @@
 	}
 }
 
-// instancesOf returns the number of instances that a pool declares.
-func instancesOf(p element) int {
-	return len(elements(p.node, fieldInstances, strict.Join(p.path, fieldInstances)))
+// placesOf returns where the instances of a pool run.
+func placesOf(p element) []fleet.Place {
+	var places []fleet.Place
+	for _, i := range elements(p.node, fieldInstances, p.path) {
+		places = append(places, fleet.Place{Zone: i.node.Field("zone").Text(), Rack: i.node.Field("rack").Text()})
+	}
+	return places
 }
--- a/internal/settings/file/validate_service.go
+++ b/internal/settings/file/validate_service.go
@@ -1,6 +1,7 @@
 package file
 
 import (
+	"slices"
 	"unicode/utf8"
 
 	"teaselloft/internal/core/strict"
@@ -18,6 +19,7 @@
 		v.checkSize(s, "connections", 1)
 		v.checkConnections(s)
 		v.checkNearest(s)
+		v.checkDomain(s)
 	}
 }
 
@@ -50,11 +52,35 @@
 	v.checkBudget(s, p)
 }
 
+// checkBudget reports a budget that the pool cannot meet with all its instances serving.
 func (v *validator) checkBudget(s, p element) {
-	budget := s.node.Field("budget")
+	budget, path := s.node.Field("budget"), strict.Join(s.path, "budget")
 	available, ok := number(budget.Field("available"))
-	if have := instancesOf(p); ok && available > have {
-		v.add(budget, strict.Join(s.path, "budget"), "available", "pool %q has %d instances, the budget of %d can never be met", p.name, have, available)
+	if !ok {
+		return
+	}
+	domain := fleet.Domain(budget.Field("domain").Text())
+	places := placesOf(p)
+	left := len(places)
+	if domain == fleet.DomainRack || domain == fleet.DomainZone {
+		left -= domain.Loss(places)
+	}
+	switch {
+	case available > len(places):
+		v.add(budget, path, "available", "pool %q has %d instances, the budget of %d can never be met", p.name, len(places), available)
+	case available > left:
+		v.add(budget, path, "domain", "the loss of one %s leaves %d instances of pool %q, the budget of %d can never be met",
+			domain, left, p.name, available)
+	}
+}
+
+// checkDomain reports a failure domain that does not exist.
+func (v *validator) checkDomain(s element) {
+	budget := s.node.Field("budget")
+	domain := fleet.Domain(budget.Field("domain").Text())
+	known := []fleet.Domain{fleet.DomainAuto, fleet.DomainRack, fleet.DomainZone, fleet.DomainNone}
+	if !slices.Contains(known, domain) {
+		v.add(budget, strict.Join(s.path, "budget"), "domain", "%q is none of rack, zone and none", string(domain))
 	}
 }
 
