--- a/internal/link/caller/exchange_test.go
+++ b/internal/link/caller/exchange_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -200,11 +201,15 @@
 // Guards against the loss of an answer whose caller left: a repeated key must get it.
 func TestKeepsAnswerAfterDeparture(t *testing.T) {
 	c := qt.New(t)
-	running, release := make(chan struct{}), make(chan struct{})
-	address := executor(t, func(w http.ResponseWriter, _ *http.Request) {
+	running, release, cancelled := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	address := executor(t, func(w http.ResponseWriter, r *http.Request) {
 		close(running)
-		<-release
-		_, _ = io.WriteString(w, "kept")
+		select {
+		case <-release:
+			_, _ = io.WriteString(w, "kept")
+		case <-r.Context().Done():
+			close(cancelled)
+		}
 	})
 	r := &router{decide: chain(sendTo(address))}
 	p := start(t, r, plain)
@@ -221,6 +226,11 @@
 	<-running
 	cancel()
 	<-left
+	select {
+	case <-cancelled:
+		c.Fatal("the caller's departure cancelled the send")
+	case <-time.After(200 * time.Millisecond): // in which the listener notices the departure
+	}
 	close(release)
 	eventually(c, "one finish", func() bool { return len(r.finishes()) == 1 })
 	f := r.finishes()[0]
@@ -233,11 +243,13 @@
 	c := qt.New(t)
 	const requests = 20
 	running, release := make(chan struct{}, requests), make(chan struct{})
+	free := sync.OnceFunc(func() { close(release) })
 	address := executor(t, func(w http.ResponseWriter, _ *http.Request) {
 		running <- struct{}{}
 		<-release
 		_, _ = io.WriteString(w, "done")
 	})
+	defer free()
 	r := &router{decide: to(address)}
 	p := start(t, r, `{"listen":{"address":"127.0.0.1:0"},"grace":"300ms"}`)
 	c.Check(must(t, "GET", p.url+"/healthz", "").status, qt.Equals, 200)
@@ -270,7 +282,7 @@
 		_, err := do(t, "GET", p.url+"/readyz", "")
 		return err != nil
 	})
-	close(release)
+	free()
 	for range requests {
 		a := <-replies
 		c.Assert(a.err, qt.IsNil)
--- a/internal/link/endpoint/outcome_test.go
+++ b/internal/link/endpoint/outcome_test.go
@@ -40,8 +40,8 @@
 // Guards invariants 4 and 5 where connections are closed while requests are written to them: an answered request ran
 // once, one that was not run ran never, an unknown one at most once.
 //
-// It fails when onceBody returns nil for an empty body (the transport sends requests twice), and when fail or wrote
-// report that no byte was written after a failed send.
+// It fails when fail reports that no byte was written, and when onceBody returns nil for an empty body and gotConn also
+// lets the transport take a second connection: the transport then sends requests twice.
 func TestOutcomesAreTrueWhenConnectionsClose(t *testing.T) {
 	c := qt.New(t)
 	p := start(t, `{}`)
@@ -113,7 +113,7 @@
 
 // Guards invariant 4 where sends are cancelled at any moment: a write must not follow a report of not run.
 //
-// It fails when fail does not seal the connection.
+// It fails when the written flag belongs to the connection instead of the attempt, or fail reports that no byte was written.
 func TestOutcomesAreTrueWhenSendsAreCancelled(t *testing.T) {
 	c := qt.New(t)
 	p := start(t, `{}`)
