--- a/internal/core/listen/server.go
+++ b/internal/core/listen/server.go
@@ -30,6 +30,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if keeper != nil && s.TLS.Certificate == "" {
+		return nil, errors.New("tls of a listener needs a certificate")
+	}
 	listener, err := net.Listen("tcp", s.Address) //nolint:noctx // binding an IP address does not wait
 	if err != nil {
 		return nil, fmt.Errorf("listen on %q: %w", s.Address, err)
--- /dev/null
+++ b/internal/link/endpoint/connection_test.go
@@ -0,0 +1,134 @@
+package endpoint_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/link/endpoint"
+	"teaselloft/internal/model/fleet"
+	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// counted serves requests and counts the open and all connections.
+func counted(t *testing.T, handle http.HandlerFunc) (address string, open, all *atomic.Int64) {
+	open, all = &atomic.Int64{}, &atomic.Int64{}
+	address = serve(t, handle, func(s *http.Server) {
+		s.ConnState = func(_ net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew:
+				open.Add(1)
+				all.Add(1)
+			case http.StateClosed, http.StateHijacked:
+				open.Add(-1)
+			case http.StateActive, http.StateIdle:
+			}
+		}
+	})
+	return address, open, all
+}
+
+// Guards against more connections to an executor than it accepts from all entry instances together.
+//
+// It fails when table.release does not trim.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	p := start(t, `{}`)
+	publish := func(e string, deleted bool) {
+		err := kernel.Publish(context.Background(), p.kernel.Host(), message.ChangedTopic,
+			message.Changed{Record: record.Member{Entry: e}, Deleted: deleted})
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(kernel.Publish(context.Background(), p.kernel.Host(), message.ConfiguredTopic, message.Configured{Fleet: fleet.Fleet{
+		Pools:    []fleet.Pool{{Name: "p", Instances: []fleet.Instance{{ID: "e"}}}},
+		Services: []fleet.Service{{Name: "s", Pool: "p", Slots: 8, Connections: 20}},
+	}}), qt.IsNil)
+	publish("a", false)
+	publish("b", false)
+	release := make(chan struct{})
+	var waiting atomic.Int64
+	address, open, _ := counted(t, func(w http.ResponseWriter, r *http.Request) {
+		waiting.Add(1)
+		<-release
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	free := sync.OnceFunc(func() { close(release) })
+	defer free()
+	var group sync.WaitGroup
+	for i := range 16 {
+		group.Go(func() {
+			got, outcome, err := p.send(address, request("GET", fmt.Sprint("/", i), nil, ""))
+			c.Check(outcome, qt.Equals, message.Answered, qt.Commentf("%v", err))
+			c.Check(got, qt.Equals, fmt.Sprint("/", i))
+		})
+	}
+	eventually(c, "requests in flight", func() bool { return waiting.Load() == 16 })
+	free()
+	group.Wait()
+	eventually(c, "(20-8)/2 idle connections", func() bool { return open.Load() == 6 && p.usage(c, address).Idle == 6 })
+	for _, e := range []string{"c", "d", "e", "f"} {
+		publish(e, false)
+	}
+	eventually(c, "(20-8)/6 idle connections", func() bool { return open.Load() == 2 && p.usage(c, address).Open == 2 })
+	c.Check(p.usage(c, address).Bound, qt.Equals, 2)
+	publish("f", true)
+	eventually(c, "bound for 5 members", func() bool { return p.usage(c, address).Bound == 12/5 })
+}
+
+// Guards against connections that pin load to the executors that were ready first.
+func TestConnectionsAreReplacedByAge(t *testing.T) {
+	c := qt.New(t)
+	p := start(t, `{"age":"30ms"}`)
+	address, _, all := counted(t, func(http.ResponseWriter, *http.Request) {})
+	started := time.Now()
+	for time.Since(started) < 300*time.Millisecond {
+		_, outcome, err := p.send(address, request("POST", "/s", nil, "k"))
+		c.Assert(outcome, qt.Equals, message.Answered, qt.Commentf("%v", err))
+	}
+	c.Check(all.Load() >= 5, qt.IsTrue, qt.Commentf("%d connections in 300 ms", all.Load()))
+}
+
+// Guards against connections that are opened although an idle one is free.
+func TestConnectionsAreReused(t *testing.T) {
+	c := qt.New(t)
+	p := start(t, `{}`)
+	address, _, all := counted(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	})
+	for i := range 300 {
+		_, outcome, err := p.send(address, request("POST", "/s", make([]byte, i*40), "k"))
+		c.Assert(outcome, qt.Equals, message.Answered, qt.Commentf("%v", err))
+	}
+	c.Check(all.Load(), qt.Equals, int64(1))
+}
+
+// Guards against bounds that a move between pools, an unknown executor or a missing member record would change wrongly.
+func TestBounds(t *testing.T) {
+	c := qt.New(t)
+	b := endpoint.NewBounds()
+	c.Check(b.Idle("e"), qt.Equals, 56)
+	b = b.WithFleet(fleet.Fleet{
+		Pools: []fleet.Pool{{Name: "p", Instances: []fleet.Instance{{ID: "e"}}}, {Name: "q"}},
+		Services: []fleet.Service{
+			{Pool: "p", Slots: 8, Connections: 64},
+			{Pool: "p", Slots: 8, Connections: 40},
+			{Pool: "q", Slots: 8, Connections: 4},
+		},
+	})
+	c.Check(b.Idle("e"), qt.Equals, 32)
+	c.Check(b.WithPlace("e", "q").Idle("e"), qt.Equals, 0)
+	c.Check(b.WithPlace("e", "q").WithoutPlace("e").Idle("e"), qt.Equals, 32)
+	b = b.WithMember("a").WithMember("b").WithMember("b")
+	c.Check(b.Idle("e"), qt.Equals, 16)
+	c.Check(b.WithoutMember("a").WithoutMember("a").Idle("e"), qt.Equals, 32)
+}
