--- /dev/null
+++ b/internal/bench/link/doc.go
@@ -0,0 +1,2 @@
+// Package link measures what the caller and endpoint links add to a direct connection to an endpoint.
+package link
