--- a/cmd/teaselloft/main.go
+++ b/cmd/teaselloft/main.go
@@ -7,9 +7,18 @@
 	"teaselloft/internal/core/command"
 
 	_ "teaselloft/internal/command/config"
+	_ "teaselloft/internal/command/fleet"
+	_ "teaselloft/internal/command/maintenance"
 	_ "teaselloft/internal/command/process"
+	_ "teaselloft/internal/command/request"
+	_ "teaselloft/internal/link/caller"
 	_ "teaselloft/internal/link/config"
+	_ "teaselloft/internal/link/endpoint"
+	_ "teaselloft/internal/link/entry"
+	_ "teaselloft/internal/link/operator"
+	_ "teaselloft/internal/link/plan"
 	_ "teaselloft/internal/link/platform"
+	_ "teaselloft/internal/link/route"
 )
 
 func main() {
