--- a/internal/core/listen/listen_test.go
+++ b/internal/core/listen/listen_test.go
@@ -82,7 +82,7 @@
 	go func() { done <- server.Run(ctx) }()
 	c.Cleanup(func() {
 		cancel()
-		<-done
+		c.Check(<-done, qt.ErrorIs, context.Canceled)
 	})
 	return server.Address()
 }
