--- a/internal/decision/dispatch/step.go
+++ b/internal/decision/dispatch/step.go
@@ -11,6 +11,8 @@
 	s, effects := s.apply(m)
 	s, more := s.expire()
 	effects = append(effects, more...)
+	s, more = s.remind()
+	effects = append(effects, more...)
 	s, more = s.advance().flush()
 	effects = append(effects, more...)
 	s, more = s.pump()
--- a/internal/proof/process/failure_test.go
+++ b/internal/proof/process/failure_test.go
@@ -59,7 +59,7 @@
 		c.Assert(err, qt.IsNil)
 		return path
 	}
-	dir := c.Mkdir()
+	dir := c.TempDir()
 	out, err := exec.Command("go", "build", "-o", dir, "../../../cmd/...").CombinedOutput()
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
 	return dir
@@ -177,7 +177,7 @@
 
 func runScenario(c *qt.C, s scenario, dir string) {
 	ctx := context.Background()
-	system, err := process.Start(ctx, process.Options{Entries: 4, Services: 2, Executors: 4, Run: 20, Bin: dir, Dir: c.Mkdir()})
+	system, err := process.Start(ctx, process.Options{Entries: 4, Services: 2, Executors: 4, Run: 20, Bin: dir, Dir: c.TempDir()})
 	if system != nil {
 		c.Cleanup(system.Close)
 	}
