--- a/internal/command/layout/files.go
+++ b/internal/command/layout/files.go
@@ -49,6 +49,7 @@
 		Lag:       platform.DefaultLag,
 		Progress:  platform.DefaultProgress,
 		History:   platform.DefaultHistory,
+		Reboot:    platform.DefaultReboot,
 		Instances: listing,
 	})
 }
--- a/internal/decision/dispatch/epoch.go
+++ b/internal/decision/dispatch/epoch.go
@@ -194,6 +194,15 @@
 	return s.withMember(m), []Effect{s.gatherFrame(m.name)}
 }
 
+// relinked gathers again, which makes the entry instance ask again for what it still waits for.
+func (s State) relinked(m Relinked) (State, []Effect) {
+	n, _ := s.member(m.Entry)
+	if s.phase == idle || n.gone || !n.answered {
+		return s, nil // a Gather without an answer is repeated anyway
+	}
+	return s.reconcile(n)
+}
+
 // refuted says whether a grant that another entry instance reported is not in use: the one that
 // took the request has told its own grants, or asks again because it has not sent the request.
 func (s State) refuted(id message.ID) bool {
--- a/internal/decision/dispatch/message.go
+++ b/internal/decision/dispatch/message.go
@@ -91,6 +91,12 @@
 	Up    bool
 }
 
+// Relinked says that the link to an entry instance is up again; frames may have been lost with the old one.
+type Relinked struct {
+	Now   time.Time
+	Entry string
+}
+
 // Gone says that a member is certainly dead; its static share and expired grants are freed.
 type Gone struct {
 	Now   time.Time
@@ -121,6 +127,7 @@
 func (Withdraw) message()  {}
 func (Holding) message()   {}
 func (Reachable) message() {}
+func (Relinked) message()  {}
 func (Gone) message()      {}
 func (Written) message()   {}
 func (Tick) message()      {}
--- a/internal/decision/dispatch/step.go
+++ b/internal/decision/dispatch/step.go
@@ -39,6 +39,8 @@
 		return s.holding(m)
 	case Reachable:
 		return s.reachable(m)
+	case Relinked:
+		return s.relinked(m)
 	case Gone:
 		return s.gone(m), nil
 	case Written:
@@ -71,6 +73,8 @@
 		return m.Now
 	case Reachable:
 		return m.Now
+	case Relinked:
+		return m.Now
 	case Gone:
 		return m.Now
 	case Written:
--- a/internal/decision/entry/owner.go
+++ b/internal/decision/entry/owner.go
@@ -98,6 +98,9 @@
 	if !l.Up {
 		return
 	}
+	for service := range t.dispatch {
+		t.dispatchStep(service, dispatch.Relinked{Now: t.now, Entry: l.Entry})
+	}
 	for _, service := range t.fleet.Names() {
 		o, ok := t.member.Owner(service)
 		if ok && o.Entry == l.Entry && t.forward.Floor(service) == o.Epoch {
--- a/internal/decision/entry/state.go
+++ b/internal/decision/entry/state.go
@@ -69,9 +69,10 @@
 }
 
 // Settled says whether this entry instance has nothing left to hand over: no request, no
-// epoch with grants in flight and no write of an owner record that its lease still allows.
+// service and no write of an owner record that its lease still allows. Grants that it gave
+// to other entry instances come back to the next owner.
 func (s State) Settled(now time.Time) bool {
-	done := len(s.member.Held()) == 0 && len(s.clearing) == 0 && len(s.starting) == 0
+	done := len(s.member.Held()) == 0 && len(s.starting) == 0
 	return done && s.forward.Len() == 0 && (s.member.Idle() || !now.Before(s.member.Until()))
 }
 
--- a/internal/decision/forward/owner.go
+++ b/internal/decision/forward/owner.go
@@ -147,11 +147,16 @@
 	}
 	s.floors = with(s.floors, g.Service, g.Epoch)
 	s.static = with(s.static, g.Service, nil)
-	return s, []Effect{Frame{To: m.From, Frame: message.Holding{
+	report := Frame{To: m.From, Frame: message.Holding{
 		Service: g.Service,
 		Epoch:   g.Epoch,
 		Grants:  append(s.held(g.Service, m.Now), m.Others...),
-	}}}
+	}}
+	// The owner drops grants that are not in the report, so their requests ask again.
+	s, asks := s.askAgain(g.Service, m.Now, func(q request) bool {
+		return q.phase == asked && q.asked == m.From
+	})
+	return s, append([]Effect{report}, asks...)
 }
 
 func (s State) fetched(m Fetched) (State, []Effect) {
--- a/internal/standin/platform/plugin.go
+++ b/internal/standin/platform/plugin.go
@@ -21,6 +21,7 @@
 	DefaultLag      = 1000 // ms
 	DefaultProgress = 1000 // ms
 	DefaultHistory  = 10_000
+	DefaultReboot   = 2000 // ms
 )
 
 const readHeaderTimeout = 5 * time.Second
@@ -33,6 +34,7 @@
 	Lag      int    `json:"lag"`      // ms that the instance list lags behind
 	Progress int    `json:"progress"` // ms between the progress messages of a watch
 	History  int    `json:"history"`  // events kept for watches
+	Reboot   int    `json:"reboot"`   // ms that an instance is away once its record says that it reboots
 	// Instances are on the list until a heartbeat changes them.
 	Instances []message.Listing `json:"instances"`
 }
@@ -51,6 +53,7 @@
 		Lag:      DefaultLag,
 		Progress: DefaultProgress,
 		History:  DefaultHistory,
+		Reboot:   DefaultReboot,
 	}
 	kernel.Register("platform-standin", defaults, build)
 }
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"teaselloft/internal/core/ring"
 	"teaselloft/internal/model/message"
+	"teaselloft/internal/model/record"
 	"teaselloft/internal/standin/keyvalue"
 	"teaselloft/internal/standin/roster"
 
@@ -32,6 +35,7 @@
 	sinks    map[uint64]open
 	counters Counters
 	traffic  *countingListener
+	reboot   time.Duration
 }
 
 func newStore(s Settings, calls *ring.Ring[call], traffic *countingListener) *store {
@@ -43,6 +47,7 @@
 		reads:    limiter(s.Reads),
 		sinks:    map[uint64]open{},
 		counters: Counters{Calls: map[Kind]int64{}},
+		reboot:   time.Duration(s.Reboot) * time.Millisecond,
 		traffic:  traffic,
 	}
 }
@@ -145,6 +150,7 @@
 func (s *store) step(ctx context.Context, m keyvalue.Message, reply *ring.Ring[keyvalue.Effect]) {
 	state, effects := keyvalue.Step(s.state, m)
 	s.state = state
+	s.obey(m, effects)
 	for _, e := range effects {
 		switch e := e.(type) {
 		case keyvalue.Notify:
@@ -158,6 +164,23 @@
 	}
 }
 
+// obey reboots an instance whose record was written in state rebooting, as the platform does with its pools.
+func (s *store) obey(m keyvalue.Message, effects []keyvalue.Effect) {
+	w, ok := m.(keyvalue.Swap)
+	if !ok || w.Delete || !strings.Contains(w.Key, "/"+record.PrefixInstance) {
+		return
+	}
+	var i record.Instance
+	if json.Unmarshal([]byte(w.Value), &i) != nil || i.State != record.Rebooting {
+		return
+	}
+	for _, e := range effects {
+		if swapped, ok := e.(keyvalue.Swapped); ok && swapped.Succeeded {
+			s.roster, _ = roster.Step(s.roster, roster.Reboot{Now: time.Now(), ID: i.ID, For: s.reboot})
+		}
+	}
+}
+
 // notify ends a watch that does not keep up, as an event must not be skipped.
 func (s *store) notify(ctx context.Context, n keyvalue.Notify) {
 	w, ok := s.sinks[n.Watch]
--- a/internal/standin/roster/roster.go
+++ b/internal/standin/roster/roster.go
@@ -24,12 +24,20 @@
 // Look asks for the list as it was before the lag.
 type Look struct{ Now time.Time }
 
+// Reboot takes an instance off the list for a while, whatever heartbeats say.
+type Reboot struct {
+	Now time.Time
+	ID  string
+	For time.Duration
+}
+
 // SetLag sets the lag of the list.
 type SetLag struct{ Lag time.Duration }
 
 func (Heartbeat) message() {}
 func (Look) message()      {}
 func (SetLag) message()    {}
+func (Reboot) message()    {}
 
 // Effect is an output of Step.
 //
@@ -47,6 +55,7 @@
 // State is the list with its recent past; the zero State is not usable.
 type State struct {
 	lag     time.Duration
+	reboots *immutable.Map[string, time.Time] // end of each reboot
 	entries *immutable.SortedMap[string, entry]
 	past    *immutable.List[moment] // oldest first, never empty
 }
@@ -67,6 +76,7 @@
 	entries := immutable.NewSortedMap[string, entry](nil)
 	return State{
 		lag:     lag,
+		reboots: immutable.NewMap[string, time.Time](nil),
 		entries: entries,
 		past:    immutable.NewList(moment{entries: entries}),
 	}
@@ -83,6 +93,8 @@
 	case SetLag:
 		s.lag = m.Lag
 		return s, nil
+	case Reboot:
+		return s.withReboot(m), nil
 	default:
 		panic(fmt.Sprintf("roster: unknown message %T", m))
 	}
@@ -92,6 +104,9 @@
 	s = s.withTime(m.Now)
 	changed := false
 	for _, l := range m.Instances {
+		if _, down := s.reboots.Get(l.ID); down {
+			continue
+		}
 		old, ok := s.entries.Get(l.ID)
 		changed = changed || !ok || old.listing != l
 		s.entries = s.entries.Set(l.ID, entry{listing: l, expires: m.Now.Add(m.TTL)})
@@ -102,8 +117,20 @@
 	return s.withMoment(m.Now)
 }
 
+func (s State) withReboot(m Reboot) State {
+	s = s.withTime(m.Now)
+	s.reboots = s.reboots.Set(m.ID, m.Now.Add(m.For))
+	s.entries = s.entries.Delete(m.ID)
+	return s.withMoment(m.Now)
+}
+
 // withTime drops expired instances, and the past that the lag no longer shows.
 func (s State) withTime(now time.Time) State {
+	for itr := s.reboots.Iterator(); !itr.Done(); {
+		if id, end, _ := itr.Next(); !now.Before(end) {
+			s.reboots = s.reboots.Delete(id)
+		}
+	}
 	for itr := s.entries.Iterator(); !itr.Done(); {
 		id, e, _ := itr.Next()
 		if !now.Before(e.expires) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -47,7 +47,7 @@
 step "an unknown name is refused as not run" "not-run" $cli request --entry $first GET weather/today
 step "a notice runs" "answered" $cli request --entry $first --key demo-1 --data "half mast" POST flag-notices/declare
 step "the same notice again gets the same answer" "answered" $cli request --entry $second --key demo-1 --data "half mast" POST flag-notices/declare
-step "the correction is counted" "flag-calender" $cli status
+step "the correction is counted" "flag-calender" $cli status --operator 127.0.0.1:$((port + 202))
 step "an explanation names the rule" "correction" $cli explain flag-calender
 
 step "an instance moves to the spare pool" "cal-12" $cli instance move cal-12 backoffice
