--- a/internal/bench/dispatch/wait.go
+++ b/internal/bench/dispatch/wait.go
@@ -15,7 +15,7 @@
 	spreadBound   = 1.1  // requests of an executor, maximum over mean
 	targetLoad    = 0.8
 	defaultSeed   = 20261204
-	noOversubBnd  = 0
+	overBound     = 0
 	percentileTop = 0.99
 )
 
@@ -41,6 +41,7 @@
 		best := measureSite(s, Ideal{}, targetLoad, defaultSeed)
 		for _, n := range []named{
 			{"owner", Owner{Options: dispatch.Defaults()}},
+			{"owner-fixed-cap", Owner{Options: options(5.0/8, 1.0/8)}},
 			{"owner-no-cap", Owner{Options: options(1, 1.0/8)}},
 			{"owner-no-reserve", Owner{Options: options(5.0/8, 0)}},
 			{"owner-plain", Owner{Options: options(1, 0)}},
@@ -55,9 +56,10 @@
 	return results
 }
 
-// options returns the defaults with another cap on long work and another reserve for urgent work.
+// options returns the defaults with a fixed cap on long work and another reserve for urgent work.
 func options(longCap, reserve float64) dispatch.Options {
 	o := dispatch.Defaults()
+	o.CapDecay = 0
 	o.LongCap = longCap
 	o.Reserve = reserve
 	return o
@@ -66,7 +68,7 @@
 func siteResults(name string, bounded bool, o, best outcome) []measure.Result {
 	bound, over := none, none
 	if bounded {
-		bound, over = urgentBound, noOversubBnd
+		bound, over = urgentBound, overBound
 	}
 	results := []measure.Result{
 		{Name: name + ".urgent.p99.ratio", Value: ratio(o.urgent.quantile(percentileTop), best.urgent.quantile(percentileTop)), Unit: "ratio", Baseline: 1, Bound: bound},
--- a/internal/decision/dispatch/executor.go
+++ b/internal/decision/dispatch/executor.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -115,12 +116,14 @@
 	total int // slots of available executors, without static shares
 	free  int
 	long  int // slots that long work uses
+	short int // slots that other work uses
 }
 
 func (s State) capacity() capacity {
 	var c capacity
 	for _, e := range s.executors {
 		c.long += e.long
+		c.short += e.used - e.long
 		if e.available {
 			c.total += max(0, s.service.Slots-e.reserved)
 			c.free += e.free(s.service.Slots, s.now)
@@ -159,5 +162,35 @@
 
 // longSlots returns how many of the given slots long work may hold.
 func (s State) longSlots(slots int) int {
-	return max(1, int(float64(slots)*s.options.LongCap))
+	return max(1, int(float64(slots)*s.longCap))
+}
+
+// leastPeak is the peak of short work, in slots, that is taken for none.
+const leastPeak = 0.5
+
+// withCap returns a copy whose cap on long work leaves room for the recent peak of short work.
+func (s State) withCap(c capacity) State {
+	s.longCap = s.options.LongCap
+	if s.options.CapDecay == 0 || c.total == 0 {
+		return s
+	}
+	halves := s.now.Sub(s.peakAt).Seconds() / s.options.CapDecay.Seconds()
+	s.peak = max(float64(c.short), s.peak*math.Exp2(-halves))
+	s.peakAt = s.now
+	if s.peak < leastPeak {
+		s.peak = 0
+	}
+	s.longCap = max(s.longCap, 1-s.options.Reserve-s.peak/float64(c.total))
+	return s
+}
+
+// capRises returns when the cap lets one more long request in, or the zero time when waiting does not help.
+func (s State) capRises(c capacity) time.Time {
+	room := float64(c.total)*(1-s.options.Reserve) - float64(c.long+1)
+	target := max(room, leastPeak)
+	if s.options.CapDecay == 0 || room < float64(c.short) || s.peak <= target || c.free == 0 {
+		return time.Time{}
+	}
+	decay := math.Log2(s.peak/target) * float64(s.options.CapDecay)
+	return s.peakAt.Add(time.Duration(decay) + time.Millisecond)
 }
--- a/internal/decision/dispatch/key_test.go
+++ b/internal/decision/dispatch/key_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"fmt"
 	"maps"
 	"reflect"
@@ -18,7 +19,12 @@
 		if p.write != nil {
 			fmt.Fprint(out, *p.write)
 		}
-		writeValue(out, reflect.ValueOf(p.state))
+		if p.digest == "" {
+			var state bytes.Buffer
+			writeValue(&state, reflect.ValueOf(p.state))
+			p.digest = fmt.Sprintf("%x", sha256.Sum256(state.Bytes()))
+		}
+		out.WriteString(p.digest)
 	}
 	for _, name := range slices.Sorted(maps.Keys(w.clients)) {
 		c := w.clients[name]
--- a/internal/decision/dispatch/limit_test.go
+++ b/internal/decision/dispatch/limit_test.go
@@ -125,33 +125,80 @@
 	c.Assert(len(denials(effects)) >= o.CallerQueue, qt.IsTrue, qt.Commentf("each queued request is answered at its deadline"))
 }
 
-// Guards against long work that takes all slots from short and urgent work.
-func TestLongWorkIsCapped(t *testing.T) {
-	c := qt.New(t)
-	s := owner(8, "e1")
-	n := uint64(0)
-	ask := func(path string, class message.Class) []message.Grant {
-		n++
-		r := request("b", n, "")
-		r.Path, r.Class = path, class
-		var effects []dispatch.Effect
-		s, effects = run(s, dispatch.Ask{Now: origin, From: "b", Request: r})
-		return grants(effects)
-	}
+// mixed asks an owner of 8 slots for short and long work.
+type mixed struct {
+	state dispatch.State
+	count uint64
+}
+
+func (m *mixed) ask(now time.Time, path string, class message.Class) []message.Grant {
+	m.count++
+	r := request("b", m.count, "")
+	r.Path, r.Class = path, class
+	var effects []dispatch.Effect
+	m.state, effects = run(m.state, dispatch.Ask{Now: now, From: "b", Request: r})
+	return grants(effects)
+}
+
+func (m *mixed) release(now time.Time, g message.Grant, d time.Duration) []message.Grant {
+	var effects []dispatch.Effect
+	m.state, effects = run(m.state, dispatch.Release{Now: now, From: "b", Release: message.Release{ID: g.ID, Executor: "e1", RunTime: d}})
+	return grants(effects)
+}
+
+// learned returns an owner that knows short and long kinds.
+func learned(o dispatch.Options) *mixed {
+	m := &mixed{state: ownerWith(o, 8, "e1")}
 	for range 30 {
 		for path, d := range map[string]time.Duration{"/short": time.Millisecond, "/brief": time.Millisecond, "/long": time.Second} {
-			g := ask(path, message.Normal)[0]
-			s, _ = run(s, dispatch.Release{Now: origin, From: "b", Release: message.Release{ID: g.ID, Executor: "e1", RunTime: d}})
+			m.release(origin, m.ask(origin, path, message.Normal)[0], d)
 		}
 	}
+	return m
+}
+
+// Guards against long work that takes all slots from short and urgent work.
+func TestLongWorkIsCapped(t *testing.T) {
+	c := qt.New(t)
+	o := dispatch.Defaults()
+	o.CapDecay = 0
+	m := learned(o)
 	granted := 0
 	for range 10 {
-		granted += len(ask("/long", message.Normal))
+		granted += len(m.ask(origin, "/long", message.Normal))
 	}
 	c.Assert(granted, qt.Equals, 5)
 	for range 5 {
-		granted += len(ask("/short", message.Normal))
+		granted += len(m.ask(origin, "/short", message.Normal))
+	}
+	c.Assert(granted, qt.Equals, 7)
+	c.Assert(m.ask(origin, "/short", message.Urgent), qt.HasLen, 1, qt.Commentf("the last slot is for urgent work"))
+}
+
+// Guards against slots that stay idle behind the cap though no short work has used them lately, without a message to notice it.
+func TestCapFollowsShortWork(t *testing.T) {
+	c := qt.New(t)
+	m := learned(dispatch.Defaults())
+	var shorts []message.Grant
+	for range 7 {
+		shorts = append(shorts, m.ask(origin, "/short", message.Normal)...)
+	}
+	c.Assert(shorts, qt.HasLen, 7)
+	granted := 0
+	for range 10 {
+		granted += len(m.ask(origin, "/long", message.Normal))
+	}
+	for _, g := range shorts {
+		granted += len(m.release(origin, g, time.Millisecond))
+	}
+	c.Assert(granted, qt.Equals, 5)
+	for range 2 {
+		wake := m.state.NextWake()
+		c.Assert(wake.Before(at(5*time.Second)), qt.IsTrue)
+		var effects []dispatch.Effect
+		m.state, effects = run(m.state, dispatch.Tick{Now: wake})
+		granted += len(grants(effects))
 	}
 	c.Assert(granted, qt.Equals, 7)
-	c.Assert(ask("/short", message.Urgent), qt.HasLen, 1, qt.Commentf("the last slot is for urgent work"))
+	c.Assert(m.ask(at(5*time.Second), "/short", message.Urgent), qt.HasLen, 1)
 }
--- a/internal/decision/dispatch/message.go
+++ b/internal/decision/dispatch/message.go
@@ -29,6 +29,7 @@
 // Start begins an epoch after the owner record was won; grants wait until the claim is written and every member answered.
 //
 // Self is gathered like every member, because it may hold grants of the previous epoch.
+// Members and Self are taken to be reachable until Reachable says otherwise.
 type Start struct {
 	Now      time.Time
 	Epoch    uint64
@@ -53,7 +54,8 @@
 //
 // An entry instance asks with an ID only while no byte of the request was sent,
 // and for an idempotent request also after a failed send. It may ask again with
-// the same ID after a takeover or a broken link.
+// the same ID after a takeover or a broken link, once it has answered Gather:
+// before, a claimed key is refused as a duplicate, since an older grant may arrive.
 type Ask struct {
 	Now     time.Time
 	From    string
--- a/internal/decision/dispatch/options.go
+++ b/internal/decision/dispatch/options.go
@@ -5,6 +5,7 @@
 // Options are the settings of a dispatch decision.
 type Options struct {
 	LongCap      float64       // largest share of slots that long work holds; 1 for no cap
+	CapDecay     time.Duration // half-life of the peak of short work, beyond which long work gets more than LongCap; 0 for a fixed cap
 	Reserve      float64       // share of the service's slots kept for urgent work; 0 for none
 	LongFactor   float64       // a kind is long when its 90th percentile exceeds this many service medians
 	Aging        time.Duration // wait after which a lower class gets one grant in AgingPeriod
@@ -25,6 +26,7 @@
 func Defaults() Options {
 	return Options{
 		LongCap:      5.0 / 8,
+		CapDecay:     time.Second, // refuses half as much as a fixed cap; with 5 s nothing was gained
 		Reserve:      1.0 / 8,
 		LongFactor:   4,
 		Aging:        2 * time.Second,
--- a/internal/decision/dispatch/pump.go
+++ b/internal/decision/dispatch/pump.go
@@ -35,6 +35,7 @@
 	if c.free == 0 {
 		return s, nil, false
 	}
+	s = s.withCap(c)
 	for _, lane := range s.order() {
 		if s.queue.lanes[lane].length == 0 || !s.allowed(lane, c) {
 			continue
--- a/internal/decision/dispatch/queue.go
+++ b/internal/decision/dispatch/queue.go
@@ -138,6 +138,16 @@
 	return q.tickets.Get(id)
 }
 
+// Waits reports whether any request of a size waits for a slot.
+func (q queue) Waits(s size) bool {
+	for lane := int(s); lane < laneCount; lane += int(sizes) {
+		if q.lanes[lane].length > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns the number of queued requests.
 func (q queue) Len() int {
 	return q.tickets.Len()
--- a/internal/decision/dispatch/state.go
+++ b/internal/decision/dispatch/state.go
@@ -37,8 +37,11 @@
 	queue     queue
 	grants    grants
 	known     knowledge
-	sequence  uint64 // of tickets, grants and gathers
-	aged      int    // grants since the last one to a lower class that had waited long
+	sequence  uint64    // of tickets, grants and gathers
+	peak      float64   // of the slots that short work used, decaying
+	longCap   float64   // share of slots that long work may hold now
+	peakAt    time.Time // when peak was computed
+	aged      int       // grants since the last one to a lower class that had waited long
 
 	claims   claims
 	revision int64
--- a/internal/decision/dispatch/step_test.go
+++ b/internal/decision/dispatch/step_test.go
@@ -51,7 +51,11 @@
 
 // owner returns an active owner "a" of epoch 1 with member "b".
 func owner(slots int, executors ...string) dispatch.State {
-	s, _ := run(dispatch.New("s", dispatch.Defaults()),
+	return ownerWith(dispatch.Defaults(), slots, executors...)
+}
+
+func ownerWith(o dispatch.Options, slots int, executors ...string) dispatch.State {
+	s, _ := run(dispatch.New("s", o),
 		dispatch.Configure{Now: origin, Service: fleet.Service{Slots: slots}, Executors: candidates(executors...)},
 		dispatch.Prove{Now: origin, Until: at(time.Hour)},
 		dispatch.Start{Now: origin, Epoch: 1, Self: "a", Members: []string{"b"}, Shared: []string{"a", "b"}},
--- a/internal/decision/dispatch/view.go
+++ b/internal/decision/dispatch/view.go
@@ -157,6 +157,9 @@
 	if s.phase == gathering {
 		earlier(s.drained())
 	}
+	if s.queue.Waits(long) {
+		earlier(s.capRises(s.capacity()))
+	}
 	if s.queue.Len() > 0 {
 		for _, e := range s.executors {
 			earlier(e.until)
--- a/internal/decision/dispatch/world_test.go
+++ b/internal/decision/dispatch/world_test.go
@@ -35,6 +35,7 @@
 	name    string
 	epoch   uint64
 	state   dispatch.State
+	digest  string                        // of the state, empty until it is needed
 	inbox   map[string][]dispatch.Message // by sender, in order
 	outbox  map[string][]message.Frame    // by receiver, in order
 	write   *dispatch.Write
@@ -203,6 +204,7 @@
 	}
 	var effects []dispatch.Effect
 	p.state, effects = dispatch.Step(before, m)
+	p.digest = ""
 	for _, e := range effects {
 		w.observe(p, e)
 	}
