--- a/internal/decision/dispatch/view.go
+++ b/internal/decision/dispatch/view.go
@@ -160,6 +160,9 @@
 	for _, m := range s.members {
 		earlier(m.reminder(s.options))
 	}
+	if s.queue.Waits(long) {
+		earlier(s.capRises(s.capacity()))
+	}
 	if s.queue.Len() > 0 {
 		for _, e := range s.executors {
 			earlier(e.until)
