--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -8,6 +8,7 @@
 
 	_ "teaselloft/internal/bench/dispatch"
 	_ "teaselloft/internal/bench/link"
+	_ "teaselloft/internal/bench/planner"
 	_ "teaselloft/internal/bench/platform"
 )
 
