--- a/internal/link/caller/exchange_test.go
+++ b/internal/link/caller/exchange_test.go
@@ -343,3 +343,22 @@
 	c.Check(ends(c, r, 1), qt.DeepEquals, []ended{{message.Unknown, false}})
 	c.Check(time.Since(started) < 9*time.Second, qt.IsTrue, qt.Commentf("the send ended only with the deadline of 10 s"))
 }
+
+// Guards against bodies of slow senders that together take all memory.
+func TestMemoryForBodiesIsBounded(t *testing.T) {
+	c := qt.New(t)
+	r := &router{decide: to(executor(t, func(http.ResponseWriter, *http.Request) {}))}
+	p := start(t, r, `{"listen":{"address":"127.0.0.1:0"},"memory":1000,"grace":"0s"}`)
+	slow, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+	c.Assert(err, qt.IsNil)
+	_, err = io.WriteString(slow, "POST /s HTTP/1.1\r\nHost: a\r\nContent-Length: 600\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	body := strings.Repeat("b", 600)
+	eventually(c, "refusal", func() bool {
+		a := must(t, "POST", p.url+"/s", body)
+		return a.status == http.StatusServiceUnavailable && a.header.Get("Retry-After") == "1" && a.header.Get("Teaselloft-Outcome") == "not-run"
+	})
+	c.Check(must(t, "POST", p.url+"/s", "small").status, qt.Equals, http.StatusOK)
+	c.Assert(slow.Close(), qt.IsNil)
+	eventually(c, "memory given back", func() bool { return must(t, "POST", p.url+"/s", body).status == http.StatusOK })
+}
--- a/internal/link/caller/handle.go
+++ b/internal/link/caller/handle.go
@@ -17,6 +17,7 @@
 var (
 	errDeadline = errors.New("deadline of the request passed")
 	errSlowBody = errors.New("body did not arrive in time")
+	errMemory   = errors.New("bodies of other requests take all memory set aside for them")
 )
 
 // handle reads a whole request and takes it to its answer.
@@ -32,14 +33,15 @@
 		return
 	}
 	deadline := arrived.Add(timeout)
+	size := l.bodySize(r)
+	defer l.held.Add(-size)
+	if l.held.Add(size) > l.settings.Memory {
+		l.turnAway(w, message.ReasonBusy, errMemory)
+		return
+	}
 	body, err := l.readBody(w, r, deadline)
 	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			l.turnAway(w, reasonTooLarge, fmt.Errorf("body has more than %d bytes", large.Limit))
-			return
-		}
-		l.turnAway(w, reasonMalformed, err)
+		l.refuseBody(w, err)
 		return
 	}
 	q.ID = message.ID{Entry: l.host.Settings.Name, Incarnation: l.incarnation, Sequence: l.sequence.Add(1)}
@@ -59,6 +61,24 @@
 	x.run(ctx)
 }
 
+// bodySize returns the bytes to set aside for a body; one of unknown length may have the limit.
+func (l *link) bodySize(r *http.Request) int64 {
+	if r.ContentLength < 0 || r.ContentLength > l.settings.Body {
+		return l.settings.Body
+	}
+	return r.ContentLength
+}
+
+// refuseBody answers a request whose body was not read to its end.
+func (l *link) refuseBody(w http.ResponseWriter, err error) {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		l.turnAway(w, reasonTooLarge, fmt.Errorf("body has more than %d bytes", large.Limit))
+		return
+	}
+	l.turnAway(w, reasonMalformed, err)
+}
+
 // readBody reads the body before the request asks for a slot, so that a slow sender holds none.
 func (l *link) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
 	if r.ContentLength == 0 || r.Body == http.NoBody {
@@ -96,7 +116,11 @@
 func (l *link) turnAway(w http.ResponseWriter, reason message.Reason, cause error) {
 	l.meters.notRun.Inc(1)
 	w.Header().Set("Connection", "close")
-	f := refused(message.Refusal{Reason: reason, Detail: cause.Error()})
+	refusal := message.Refusal{Reason: reason, Detail: cause.Error()}
+	if reason == message.ReasonBusy {
+		refusal.RetryAfter = busyRetry
+	}
+	f := refused(refusal)
 	if err := f.write(w, origin{config: l.config.Load()}); err != nil {
 		l.log.Debug("refusal was not delivered", "event", "caller.write", "error", err)
 	}
--- a/internal/link/caller/link.go
+++ b/internal/link/caller/link.go
@@ -30,6 +30,7 @@
 	server      *listen.Server
 	incarnation string // tells requests of two lives of this entry instance apart
 	sequence    atomic.Uint64
+	held        atomic.Int64 // bytes of the bodies of requests in progress
 	config      atomic.Uint64
 	configured  atomic.Bool
 	stopping    atomic.Bool
--- a/internal/link/caller/settings.go
+++ b/internal/link/caller/settings.go
@@ -14,6 +14,7 @@
 type Settings struct {
 	Listen listen.Settings `json:"listen"`
 	Body   int64           `json:"body"`   // bytes of a request's body
+	Memory int64           `json:"memory"` // bytes of all bodies held at a time
 	Buffer int64           `json:"buffer"` // bytes of an answer that are read before the first is passed on
 	Keep   int             `json:"keep"`   // bytes of an answer, with its header, that is kept for a repeated key
 	Grace  kernel.Duration `json:"grace"`  // between readyz turning false and the listener closing
@@ -23,6 +24,7 @@
 var Defaults = Settings{
 	Listen: listen.Defaults(),
 	Body:   1 << 20,
+	Memory: 512 << 20, // without it, 4096 connections could hold 4 GB
 	Buffer: 1 << 20,
 	// Kept answers travel in frames of at most 64 KB between entry instances, with some bytes of framing.
 	Keep:  60 << 10,
