--- a/internal/link/caller/exchange_test.go
+++ b/internal/link/caller/exchange_test.go
@@ -353,6 +353,7 @@
 	c.Assert(err, qt.IsNil)
 	_, err = io.WriteString(slow, "POST /s HTTP/1.1\r\nHost: a\r\nContent-Length: 600\r\n\r\n")
 	c.Assert(err, qt.IsNil)
+	eventually(c, "slow request", func() bool { return dump(c, p.kernel)["open"].(float64) == 1 })
 	body := strings.Repeat("b", 600)
 	eventually(c, "refusal", func() bool {
 		a := must(t, "POST", p.url+"/s", body)
--- a/internal/link/entry/entry_test.go
+++ b/internal/link/entry/entry_test.go
@@ -63,6 +63,10 @@
 	cutter.Cut(message.Cut{Entry: b.name})
 	eventually(c, "up again", func() bool { return a.up(b.name) })
 	a.send(c, b.name, gather(2))
+	defer func() {
+		c.Logf("links %v, sent %d, lost %d, cut %d, dials failed %d, links broken %d; peer refused %d", a.linked(b.name),
+			a.count("sent"), a.count("lost"), a.count("cut"), a.count("dials.failed"), a.count("broken"), b.count("refused"))
+	}()
 	eventually(c, "second frame", func() bool { return len(b.received(a.name)) == 2 })
 }
 
--- a/internal/link/entry/link.go
+++ b/internal/link/entry/link.go
@@ -93,14 +93,19 @@
 	return &http.Client{Transport: t}, "wss"
 }
 
-// changed forwards the changes of member records.
+// changed stores member records before the publisher goes on, so that a hello that follows is checked against them.
 func (w *switchboard) changed(ctx context.Context, c message.Changed) error {
 	switch r := c.Record.(type) {
 	case record.Member:
 		if c.Deleted {
+			w.link.know(func(d Directory) Directory { return d.WithoutMember(r.Entry) })
 			return w.updates.Push(ctx, left{entry: r.Entry})
 		}
-		return w.updates.Push(ctx, joined{member: r})
+		before := w.link.know(func(d Directory) Directory { return d.WithMember(r) })
+		if m, ok := before.Member(r.Entry); ok && m.Incarnation == r.Incarnation && m.Address == r.Address {
+			return nil
+		}
+		return w.updates.Push(ctx, joined{entry: r.Entry})
 	case record.Owner, record.Claim, record.Segment, record.Instance, record.Ledger, record.Head, record.Wave:
 		return nil
 	default:
@@ -108,6 +113,17 @@
 	}
 }
 
+// know replaces the directory and returns the one before.
+func (l *link) know(change func(Directory) Directory) Directory {
+	for {
+		before := l.directory.Load()
+		after := change(*before)
+		if l.directory.CompareAndSwap(before, &after) {
+			return *before
+		}
+	}
+}
+
 // report tells the routing duty something that it must learn, waiting while its ring is full.
 func (l *link) report(e message.Event) {
 	if err := l.route.PushWait(l.base, e); err != nil && l.base.Err() == nil {
--- a/internal/link/entry/switchboard.go
+++ b/internal/link/entry/switchboard.go
@@ -7,7 +7,6 @@
 
 	"teaselloft/internal/core/ring"
 	"teaselloft/internal/model/message"
-	"teaselloft/internal/model/record"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -17,8 +16,8 @@
 //sumtype:decl
 type update interface{ update() }
 
-// joined brings a new or changed member record.
-type joined struct{ member record.Member }
+// joined says that a member record is new or has another incarnation or address.
+type joined struct{ entry string }
 
 // left says that a member record was deleted.
 type left struct{ entry string }
@@ -54,7 +53,7 @@
 	}
 }
 
-// catchUp applies the changes that were published before a frame was handed over, such as the record of its receiver.
+// catchUp applies the changes that were published before a frame was handed over.
 func (w *switchboard) catchUp() {
 	for w.updates.Len() > 0 {
 		w.apply(<-w.updates.Items())
@@ -110,17 +109,10 @@
 }
 
 func (w *switchboard) apply(u update) {
-	directory := *w.link.directory.Load()
 	switch u := u.(type) {
 	case joined:
-		before, known := directory.Member(u.member.Entry)
-		w.store(directory.WithMember(u.member))
-		if known && before.Incarnation == u.member.Incarnation && before.Address == u.member.Address {
-			return
-		}
-		w.renew(u.member.Entry)
+		w.renew(u.entry)
 	case left:
-		w.store(directory.WithoutMember(u.entry))
 		if p, ok := w.peers[u.entry]; ok {
 			w.end(p)
 		}
@@ -142,7 +134,3 @@
 		}
 	}
 }
-
-func (w *switchboard) store(d Directory) {
-	w.link.directory.Store(&d)
-}
