--- a/internal/decision/dispatch/pump.go
+++ b/internal/decision/dispatch/pump.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"teaselloft/internal/model/message"
 )
 
 // dispatchTries bounds the requests that one message looks at in a lane before it gives up on them.
@@ -33,6 +35,7 @@
 	if c.free == 0 {
 		return s, nil, false
 	}
+	s = s.withCap(c)
 	for _, lane := range s.order() {
 		if s.queue.lanes[lane].length == 0 || !s.allowed(lane, c) {
 			continue
@@ -127,7 +130,7 @@
 func (s State) grantTo(t ticket, i int) (State, Effect) {
 	s.queue = s.queue.WithTurn(t, s.cost(t)).Without(t)
 	s = s.withSequence().withRecent(i)
-	if int(t.request.Class) > 0 && s.aged >= s.options.AgingPeriod-1 {
+	if t.class != message.Urgent && s.aged >= s.options.AgingPeriod-1 {
 		s.aged = 0
 	} else {
 		s.aged++
