Tie each report of grants to the gather that it answers

Cause: a repeated gather was answered twice, and the late answer dropped a grant that it could not list: 2 sends to one slot after 52 generated interleavings (TestInterleavings, rapid.).

--- a/internal/bench/dispatch/owner.go
+++ b/internal/bench/dispatch/owner.go
@@ -115,7 +115,7 @@
 		p.frame(p.jobs[f.ID].entry, f, func() {})
 		delete(p.jobs, f.ID)
 	case message.Gather:
-	case message.Ask, message.Release, message.Withdraw, message.Holding, message.Cleared, message.Backup, message.Forget, message.Inquire, message.Report, message.Fetch, message.Stored:
+	case message.Ask, message.Release, message.Withdraw, message.Holding, message.Resync, message.Cleared, message.Backup, message.Forget, message.Inquire, message.Report, message.Fetch, message.Stored:
 		panic(fmt.Sprintf("the owner sends %T", f))
 	default:
 		panic(fmt.Sprintf("unknown frame %T", f))
--- a/internal/decision/dispatch/choice_test.go
+++ b/internal/decision/dispatch/choice_test.go
@@ -126,7 +126,7 @@
 		}
 	case message.Grant:
 		w.use(p, c, f)
-	case message.Ask, message.Release, message.Withdraw, message.Holding, message.Cleared, message.Backup, message.Forget, message.Inquire, message.Report, message.Fetch, message.Stored:
+	case message.Ask, message.Release, message.Withdraw, message.Holding, message.Resync, message.Cleared, message.Backup, message.Forget, message.Inquire, message.Report, message.Fetch, message.Stored:
 		w.broken("epoch %d sends %T", p.epoch, f)
 	default:
 		panic(fmt.Sprintf("unknown frame %T", f))
@@ -143,7 +143,7 @@
 		r := w.requests[id]
 		held = append(held, message.Held{ID: id, Executor: c.sending[id].Executor.ID, Left: r.Deadline.Sub(w.now), Key: r.Key})
 	}
-	w.send(p, c.name, dispatch.Holding{From: c.name, Grants: held})
+	w.send(p, c.name, dispatch.Holding{From: c.name, Sequence: f.Sequence, Grants: held})
 	for _, id := range sortedIDs(c.waiting) {
 		w.send(p, c.name, dispatch.Ask{From: c.name, Request: c.waiting[id]})
 	}
--- a/internal/decision/dispatch/epoch.go
+++ b/internal/decision/dispatch/epoch.go
@@ -18,7 +18,7 @@
 	gone     bool
 	gathered uint64    // sequence of the latest Gather
 	asked    time.Time // when the latest Gather was sent
-	overdue  bool      // told its grants without a Gather, after its link broke, and was asked again
+	overdue  bool      // was asked again after its link broke
 }
 
 // reserves reports whether the member may be using its static share.
@@ -67,11 +67,11 @@
 	m.answered = false
 	m.gathered = s.sequence
 	m.asked = s.now
-	return s.withMember(m), s.gatherFrame(name)
+	return s.withMember(m), s.gatherFrame(m)
 }
 
-func (s State) gatherFrame(name string) Effect {
-	return Reply{To: name, Frame: message.Gather{Service: s.service.Name, Epoch: s.epoch}}
+func (s State) gatherFrame(m member) Effect {
+	return Reply{To: m.name, Frame: message.Gather{Service: s.service.Name, Epoch: s.epoch, Sequence: m.gathered}}
 }
 
 // remind gathers again from members whose answer is overdue: a frame is lost with its link.
@@ -87,7 +87,7 @@
 		// An answer to the first Gather does not list grants given since, so its sequence stays.
 		m.asked = s.now
 		s = s.withMember(m)
-		effects = append(effects, s.gatherFrame(m.name))
+		effects = append(effects, s.gatherFrame(m))
 	}
 	return s, effects
 }
@@ -157,6 +157,12 @@
 		return s, nil
 	}
 	from, known := s.member(m.From)
+	if !known || from.answered && !from.overdue {
+		return s, nil
+	}
+	if m.Sequence != 0 && m.Sequence != from.gathered {
+		return s, nil // grants given since the Gather that it answers are not in it
+	}
 	listed := make(map[message.ID]bool, len(m.Grants))
 	for _, h := range m.Grants {
 		if h.ID.Entry != m.From && s.refuted(h.ID) {
@@ -165,12 +171,6 @@
 		listed[h.ID] = true
 		s = s.hold(h)
 	}
-	if !known {
-		return s, nil
-	}
-	if from.answered && !from.overdue {
-		return s.reconcile(from)
-	}
 	for _, g := range s.grants.Of(m.From, from.gathered) {
 		if !listed[g.id] {
 			s = s.withoutGrant(g)
@@ -191,7 +191,7 @@
 	m.overdue = true
 	m.gathered = s.sequence
 	m.asked = s.now
-	return s.withMember(m), []Effect{s.gatherFrame(m.name)}
+	return s.withMember(m), []Effect{s.gatherFrame(m)}
 }
 
 // relinked gathers again, which makes the entry instance ask again for what it still waits for.
--- a/internal/decision/dispatch/message.go
+++ b/internal/decision/dispatch/message.go
@@ -81,9 +81,10 @@
 
 // Holding brings a member's grants in flight.
 type Holding struct {
-	Now    time.Time
-	From   string
-	Grants []message.Held
+	Now      time.Time
+	From     string
+	Sequence uint64 // of the Gather that it answers, 0 for the latest
+	Grants   []message.Held
 }
 
 // Reachable says whether frames from a member arrive; an unreachable member keeps its static share.
--- a/internal/decision/dispatch/world_test.go
+++ b/internal/decision/dispatch/world_test.go
@@ -264,7 +264,7 @@
 		id = f.ID
 	case message.Gather:
 		return
-	case message.Ask, message.Release, message.Withdraw, message.Holding, message.Cleared, message.Backup, message.Forget, message.Inquire, message.Report, message.Fetch, message.Stored:
+	case message.Ask, message.Release, message.Withdraw, message.Holding, message.Resync, message.Cleared, message.Backup, message.Forget, message.Inquire, message.Report, message.Fetch, message.Stored:
 		return
 	default:
 		panic(fmt.Sprintf("unknown frame %T", f))
--- a/internal/decision/entry/owner.go
+++ b/internal/decision/entry/owner.go
@@ -91,8 +91,8 @@
 	t.forwardStep(forward.Owner{Now: t.now, Owner: o, Reachable: reachable})
 }
 
-// linked asks again what was asked over a broken link, and tells an owner the grants
-// behind a new one, since releases may have been lost with the old one.
+// linked asks again what was asked over a broken link, and makes both ends of a new one
+// compare their grants, since frames may have been lost with the old one.
 func (t *step) linked(l message.Linked) {
 	t.forwardStep(forward.Linked{Now: t.now, Entry: l.Entry, Up: l.Up})
 	if !l.Up {
@@ -104,7 +104,7 @@
 	for _, service := range t.fleet.Names() {
 		o, ok := t.member.Owner(service)
 		if ok && o.Entry == l.Entry && t.forward.Floor(service) == o.Epoch {
-			t.frame(l.Entry, t.forward.Holding(service, o.Epoch, t.now))
+			t.frame(l.Entry, message.Resync{Service: service, Epoch: o.Epoch})
 		}
 	}
 }
--- a/internal/decision/entry/request.go
+++ b/internal/decision/entry/request.go
@@ -80,6 +80,8 @@
 		t.forwardStep(forward.Stored{Now: t.now, Stored: f})
 	case message.Cleared:
 		t.noteCleared(f)
+	case message.Resync:
+		t.resync(from, f)
 	case message.Backup:
 		t.keepBackup(f)
 	case message.Forget:
@@ -124,7 +126,7 @@
 	if epoch, ok := t.member.Holds(f.Service, t.now); !ok || epoch != f.Epoch {
 		return
 	}
-	t.dispatchStep(f.Service, dispatch.Holding{Now: t.now, From: from, Grants: f.Grants})
+	t.dispatchStep(f.Service, dispatch.Holding{Now: t.now, From: from, Sequence: f.Sequence, Grants: f.Grants})
 }
 
 // inquired reports the grants in flight of a service that this entry instance owns and may grant.
@@ -136,3 +138,10 @@
 		t.frame(from, message.Report{Service: f.Service, Loads: d.Loads()})
 	}
 }
+
+// resync gathers again from a member of the epoch that this entry instance owns.
+func (t *step) resync(from string, f message.Resync) {
+	if epoch, ok := t.member.Holds(f.Service, t.now); ok && epoch == f.Epoch {
+		t.dispatchStep(f.Service, dispatch.Relinked{Now: t.now, Entry: from})
+	}
+}
--- a/internal/decision/forward/owner.go
+++ b/internal/decision/forward/owner.go
@@ -148,9 +148,10 @@
 	s.floors = with(s.floors, g.Service, g.Epoch)
 	s.static = with(s.static, g.Service, nil)
 	report := Frame{To: m.From, Frame: message.Holding{
-		Service: g.Service,
-		Epoch:   g.Epoch,
-		Grants:  append(s.held(g.Service, m.Now), m.Others...),
+		Service:  g.Service,
+		Epoch:    g.Epoch,
+		Sequence: g.Sequence,
+		Grants:   append(s.held(g.Service, m.Now), m.Others...),
 	}}
 	// The owner drops grants that are not in the report, so their requests ask again.
 	s, asks := s.askAgain(g.Service, m.Now, func(q request) bool {
--- a/internal/decision/forward/state.go
+++ b/internal/decision/forward/state.go
@@ -172,11 +172,6 @@
 	return found
 }
 
-// Holding returns what Gather would be answered with.
-func (s State) Holding(service string, epoch uint64, now time.Time) message.Holding {
-	return message.Holding{Service: service, Epoch: epoch, Grants: s.held(service, now)}
-}
-
 // held describes the grants in flight of a service for its next owner.
 func (s State) held(service string, now time.Time) []message.Held {
 	var grants []message.Held
--- a/internal/link/entry/codec.go
+++ b/internal/link/entry/codec.go
@@ -66,6 +66,7 @@
 	"cleared":  decodeAs[message.Cleared],
 	"fetch":    decodeAs[message.Fetch],
 	"stored":   decodeAs[message.Stored],
+	"resync":   decodeAs[message.Resync],
 	"backup":   decodeAs[message.Backup],
 	"forget":   decodeAs[message.Forget],
 	"inquire":  decodeAs[message.Inquire],
@@ -124,6 +125,8 @@
 		return "fetch", f
 	case message.Stored:
 		return "stored", f
+	case message.Resync:
+		return "resync", f
 	case message.Backup:
 		return "backup", f
 	case message.Forget:
--- a/internal/model/message/frame.go
+++ b/internal/model/message/frame.go
@@ -49,15 +49,23 @@
 
 // Gather asks a member for its grants of a service; it refuses lower epochs from then on.
 type Gather struct {
-	Service string
-	Epoch   uint64
+	Service  string
+	Epoch    uint64
+	Sequence uint64 // that the answer repeats, since an answer to an earlier Gather can come late
 }
 
 // Holding answers Gather.
 type Holding struct {
+	Service  string
+	Epoch    uint64
+	Sequence uint64 // of the Gather
+	Grants   []Held
+}
+
+// Resync asks an owner to gather again, because releases may have been lost with a broken link.
+type Resync struct {
 	Service string
 	Epoch   uint64
-	Grants  []Held
 }
 
 // Held is a grant in flight.
@@ -126,5 +134,6 @@
 func (Fetch) frame()    {}
 func (Stored) frame()   {}
 
+func (Resync) frame() {}
 func (Backup) frame() {}
 func (Forget) frame() {}
