--- a/internal/decision/dispatch/claims.go
+++ b/internal/decision/dispatch/claims.go
@@ -108,17 +108,29 @@
 	return c
 }
 
-// WithoutOld returns a copy without unused and expired claims of the claim value.
-func (c claims) WithoutOld(oldest time.Time) claims {
+// value is the content of the claim value and what of it the store does not certainly hold.
+type value struct {
+	entries []record.Claimed
+	fresh   []record.Claimed
+}
+
+// WithValue returns a copy without unused and expired claims of the claim value, and that value.
+func (c claims) WithValue(oldest time.Time) (claims, value) {
+	v := value{entries: make([]record.Claimed, 0, c.current.Len())}
 	it := c.current.Iterator()
 	for !it.Done() {
 		_, hash, _ := it.Next()
 		n, _ := c.byHash.Get(hash)
-		if n.unused || n.Time < oldest.UnixMilli() {
+		switch {
+		case n.unused || n.Time < oldest.UnixMilli():
 			c = c.Without(hash)
+			continue
+		case !n.stored:
+			v.fresh = append(v.fresh, n.Claimed)
 		}
+		v.entries = append(v.entries, n.Claimed)
 	}
-	return c
+	return c, v
 }
 
 // WithoutSegments returns a copy without the segments whose claims are all expired, and those segments.
@@ -156,18 +168,6 @@
 	return c
 }
 
-// Entries returns the entries of the claim value in order.
-func (c claims) Entries() []record.Claimed {
-	entries := make([]record.Claimed, 0, c.current.Len())
-	it := c.current.Iterator()
-	for !it.Done() {
-		_, hash, _ := it.Next()
-		n, _ := c.byHash.Get(hash)
-		entries = append(entries, n.Claimed)
-	}
-	return entries
-}
-
 // Keys returns the store keys of all segments.
 func (c claims) Keys() []string {
 	var keys []string
--- a/internal/decision/dispatch/commit.go
+++ b/internal/decision/dispatch/commit.go
@@ -106,20 +106,21 @@
 		return s, nil
 	}
 	s.writes++
-	s.claims = s.claims.WithoutOld(s.oldest())
+	var v value
+	s.claims, v = s.claims.WithValue(s.oldest())
 	if s.written && s.claims.size > s.options.ClaimSize {
-		if g, rec := s.roll(); len(rec.Entries) > 0 {
+		if g, rec := s.roll(v); len(rec.Entries) > 0 {
 			s.writing = writing{active: true, segment: g, tickets: immutable.NewList[message.ID]()}
 			return s, []Effect{s.write(rec, 0)}
 		}
 	}
-	w := writing{active: true, tickets: s.waiting}
+	w := writing{active: true, tickets: s.waiting, fresh: v.fresh}
 	s.claims, w.dropped = s.claims.WithoutSegments(s.oldest())
 	w.claim = record.Claim{
 		Service:  s.service.Name,
 		Epoch:    s.epoch,
 		Sequence: s.writes,
-		Entries:  s.claims.Entries(),
+		Entries:  v.entries,
 		Segments: s.claims.Keys(),
 	}
 	s.writing = w
@@ -141,10 +142,10 @@
 const segmentNumbers = 1 << 32
 
 // roll returns a segment of the stored claims of the claim value.
-func (s State) roll() (segment, record.Segment) {
+func (s State) roll(v value) (segment, record.Segment) {
 	rec := record.Segment{Service: s.service.Name, Number: s.epoch*segmentNumbers + s.writes}
 	g := segment{keys: []string{rec.Key()}, newest: s.now}
-	for _, e := range s.claims.Entries() {
+	for _, e := range v.entries {
 		if c, _ := s.claims.Get(e.Hash); c.stored {
 			rec.Entries = append(rec.Entries, e)
 			g.hashes = append(g.hashes, e.Hash)
@@ -179,7 +180,7 @@
 	}
 	s.revision = m.Revision
 	s.written = true
-	for _, e := range w.claim.Entries {
+	for _, e := range w.fresh {
 		if c, ok := s.claims.Get(e.Hash); ok && !c.stored && c.Claimed == e {
 			c.stored = true
 			s.claims = s.claims.WithChanged(c)
