Bound what a running wave costs daemons and the planner

The progress record of 1,300 instances was written every minute, 4.8 MB an hour; the pause grows with the wave now and a wave costs 1.1 MB an hour.

--- a/internal/bench/planner/command.go
+++ b/internal/bench/planner/command.go
@@ -24,7 +24,7 @@
 		Usage: "measure waves, capacity and placement at the two-year size",
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the generated load", Value: defaultSeed},
-			&cli.StringSliceFlag{Name: "only", Usage: "`AREAS` to measure: wave, platform, capacity, quarantine, urgent, growth"},
+			&cli.StringSliceFlag{Name: "only", Usage: "`AREAS` to measure: wave, platform, step, capacity, quarantine, urgent, growth"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			return Run(c.Root().Writer, c.Uint64("seed"), c.StringSlice("only"))
@@ -39,6 +39,7 @@
 }{
 	{"wave", rollout},
 	{"platform", platform},
+	{"step", waveStep},
 	{"capacity", buffer},
 	{"quarantine", quarantine},
 	{"urgent", urgent},
--- a/internal/bench/planner/rollout.go
+++ b/internal/bench/planner/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -39,6 +40,39 @@
 	return nil
 }
 
+// waveStep measures one decision on a running wave from 50 to 5,000 instances and its exponent.
+func waveStep(r *results, _ uint64) error {
+	var x, y []float64
+	for _, workers := range []int{50, twoYearWorkers, 5000} {
+		f := site(workers, max(1, workers*twoYearPools/twoYearWorkers))
+		s := known(f, all)
+		now := begin
+		messages := []wave.Message{
+			wave.Won{Now: now, Epoch: 1, Until: now.Add(time.Hour)},
+			wave.Loaded{},
+			wave.Changed{Record: record.Wave{ID: "w", Phase: record.Running}, Revision: 1},
+		}
+		for _, m := range messages {
+			s, _ = wave.Step(s, m)
+		}
+		var steps []time.Duration
+		for range 101 {
+			now = now.Add(time.Second)
+			before := time.Now()
+			s, _ = wave.Step(s, wave.Time{Now: now})
+			steps = append(steps, time.Since(before))
+		}
+		ms := quantile(steps, 0.5).Seconds() * 1e3
+		r.figure("wave.step.median."+itoa(workers), ms, "ms")
+		if workers == twoYearWorkers {
+			r.bound("wave.step.p99", quantile(steps, 0.99).Seconds()*1e3, "ms", 0, boundStep)
+		}
+		x, y = append(x, math.Log(float64(workers))), append(y, math.Log(ms))
+	}
+	r.figure("wave.step.exponent", slope(x, y), "log-log")
+	return nil
+}
+
 func all(fleet.Instance) bool { return true }
 
 // lowerBound returns the least time in which any order keeps every budget, one zone of a service at a time.
--- a/internal/decision/wave/progress.go
+++ b/internal/decision/wave/progress.go
@@ -19,7 +19,7 @@
 	StepFailed    = "failed"
 )
 
-// reportWaves ends or stops waves and writes their progress, at most once per ReportEvery unless the phase changes.
+// reportWaves ends or stops waves and writes their progress, with pauses between unless the phase changes.
 func (p *pass) reportWaves() {
 	known := p.state.waves
 	for itr := known.Iterator(); !itr.Done(); {
@@ -44,11 +44,12 @@
 	} else if same(w.Progress, progress) {
 		return
 	}
-	last, reported := p.state.reports.Get(w.ID)
-	if phase == k.Record.Phase && reported && p.state.now.Sub(last) < p.state.settings.ReportEvery {
+	next, reported := p.state.reports.Get(w.ID)
+	if phase == k.Record.Phase && reported && p.state.now.Before(next) {
 		return
 	}
-	p.state.reports = p.state.reports.Set(w.ID, p.state.now)
+	pause := p.state.settings.ReportEvery + time.Duration(len(progress))*p.state.settings.ReportEach
+	p.state.reports = p.state.reports.Set(w.ID, p.state.now.Add(pause))
 	p.write(w.WithProgress(progress), k.Revision)
 }
 
@@ -166,7 +167,7 @@
 	}
 	for itr := s.reports.Iterator(); !itr.Done(); {
 		_, t, _ := itr.Next()
-		at(t.Add(s.settings.ReportEvery))
+		at(t)
 	}
 	return wake
 }
--- a/internal/decision/wave/settings.go
+++ b/internal/decision/wave/settings.go
@@ -11,7 +11,8 @@
 	ListLimit    time.Duration `json:"list_limit"`    // nothing is taken out on an older instance list
 	Hold         time.Duration `json:"hold"`          // nothing is taken out of a service after unplanned failures
 	ReadAgain    time.Duration `json:"read_again"`    // between attempts to read a record whose write is in doubt
-	ReportEvery  time.Duration `json:"report_every"`  // between writes of a wave's progress
+	ReportEvery  time.Duration `json:"report_every"`  // between writes of a wave's progress, at least
+	ReportEach   time.Duration `json:"report_each"`   // longer for each instance of the wave
 	FailWindow   int           `json:"fail_window"`   // finished instances over which failures are counted
 	FailuresStop int           `json:"failures_stop"` // failures in the window that stop a wave
 }
@@ -26,7 +27,8 @@
 		ListLimit:    time.Minute,
 		Hold:         2 * time.Minute,
 		ReadAgain:    2 * time.Second,
-		ReportEvery:  time.Minute, // a wave record of 1,300 instances has about 100 KB
+		ReportEvery:  time.Minute,
+		ReportEach:   250 * time.Millisecond, // a wave record has about 80 bytes an instance, which every daemon's watch receives
 		FailWindow:   10,
 		FailuresStop: 3,
 	}
--- a/internal/decision/wave/state.go
+++ b/internal/decision/wave/state.go
@@ -66,7 +66,7 @@
 	drains  *immutable.SortedMap[string, drain]
 	open    *immutable.SortedMap[string, open]      // by key
 	held    *immutable.SortedMap[string, time.Time] // services that lost instances, until when nothing is taken out
-	reports *immutable.SortedMap[string, time.Time] // last progress write by wave
+	reports *immutable.SortedMap[string, time.Time] // when the progress may be written again, by wave
 	blocked map[string]string                       // why a wanted instance is not taken out, by instance; replaced as a whole
 }
 
--- a/internal/link/plan/plan_test.go
+++ b/internal/link/plan/plan_test.go
@@ -147,7 +147,7 @@
 // launch runs the plug-in until the test ends.
 func launch(c *qt.C, p *platform) *kernel.Kernel {
 	current = p
-	s, err := kernel.ParseSettings([]byte(`{"name":"e1","plugins":{"stub":{},"` + plan.Name + `":{"grace":"1ms","poll":"5ms"}}}`))
+	s, err := kernel.ParseSettings([]byte(`{"name":"e1","plugins":{"stub":{},"` + plan.Name + `":{"grace":"1ms","poll":"5ms","pace":"1ms"}}}`))
 	c.Assert(err, qt.IsNil)
 	k, err := kernel.New(s, slog.New(slog.DiscardHandler))
 	c.Assert(err, qt.IsNil)
--- a/internal/link/plan/planner.go
+++ b/internal/link/plan/planner.go
@@ -23,6 +23,7 @@
 	state    wave.State
 	sizer    *sizer
 	due      bool                       // something was learned or the wake time has come
+	decided  time.Time                  // when the last decision was made
 	polled   time.Time                  // when the requests in flight were last looked at
 	shown    atomic.Pointer[wave.State] // for the dump
 }
@@ -49,7 +50,10 @@
 		case <-timer.C:
 			p.due = true
 		}
-		if p.checkOwnership(time.Now()); p.due {
+		p.checkOwnership(time.Now())
+		if wait := time.Until(p.decided.Add(p.settings.Pace.Value())); p.due && wait > 0 {
+			timer.Reset(wait)
+		} else if p.due {
 			p.decide(time.Now())
 			timer.Reset(p.pause(time.Now()))
 		}
@@ -92,6 +96,7 @@
 // decide looks at the requests in flight and lets the decision act.
 func (p *planner) decide(now time.Time) {
 	p.due = false
+	p.decided = now
 	if p.state.Epoch() > 0 && !now.Before(p.polled.Add(p.settings.Poll.Value())) {
 		p.countFlights(now)
 	}
--- a/internal/link/plan/settings.go
+++ b/internal/link/plan/settings.go
@@ -18,6 +18,7 @@
 	Settle kernel.Duration `json:"settle"` // longest lag of the instance list
 	Hold   kernel.Duration `json:"hold"`   // rest of a service after unplanned failures
 	Poll   kernel.Duration `json:"poll"`   // between looks at the requests in flight of draining instances
+	Pace   kernel.Duration `json:"pace"`   // between decisions at least, while events arrive
 	Call   kernel.Duration `json:"call"`   // limit of one platform call
 }
 
@@ -29,6 +30,7 @@
 	Settle: kernel.Duration(wave.Defaults().Settle),
 	Hold:   kernel.Duration(wave.Defaults().Hold),
 	Poll:   kernel.Duration(time.Second),
+	Pace:   kernel.Duration(500 * time.Millisecond), // a decision over 1,300 instances takes some milliseconds
 	Call:   kernel.Duration(5 * time.Second),
 }
 
