--- a/internal/decision/dispatch/epoch.go
+++ b/internal/decision/dispatch/epoch.go
@@ -16,7 +16,9 @@
 	joined   bool // answered a Gather of this epoch, so that its static share is of this epoch
 	up       bool
 	gone     bool
-	gathered uint64 // sequence of the latest Gather
+	gathered uint64    // sequence of the latest Gather
+	asked    time.Time // when the latest Gather was sent
+	overdue  bool      // told its grants without a Gather, after its link broke, and was asked again
 }
 
 // reserves reports whether the member may be using its static share.
@@ -64,7 +66,38 @@
 	m, _ := s.member(name)
 	m.answered = false
 	m.gathered = s.sequence
-	return s.withMember(m), Reply{To: name, Frame: message.Gather{Service: s.service.Name, Epoch: s.epoch}}
+	m.asked = s.now
+	return s.withMember(m), s.gatherFrame(name)
+}
+
+func (s State) gatherFrame(name string) Effect {
+	return Reply{To: name, Frame: message.Gather{Service: s.service.Name, Epoch: s.epoch}}
+}
+
+// remind gathers again from members whose answer is overdue: a frame is lost with its link.
+func (s State) remind() (State, []Effect) {
+	if s.phase == idle {
+		return s, nil
+	}
+	var effects []Effect
+	for _, m := range s.members {
+		if m.reminder(s.options).IsZero() || s.now.Before(m.reminder(s.options)) {
+			continue
+		}
+		// An answer to the first Gather does not list grants given since, so its sequence stays.
+		m.asked = s.now
+		s = s.withMember(m)
+		effects = append(effects, s.gatherFrame(m.name))
+	}
+	return s, effects
+}
+
+// reminder returns when the member is asked again, zero for never.
+func (m member) reminder(o Options) time.Time {
+	if m.asked.IsZero() || m.answered && !m.overdue || m.gone || !m.up {
+		return time.Time{}
+	}
+	return m.asked.Add(o.Remind)
 }
 
 func (s State) member(name string) (member, bool) {
@@ -132,20 +165,44 @@
 		listed[h.ID] = true
 		s = s.hold(h)
 	}
-	if !known || from.answered {
+	if !known {
 		return s, nil
 	}
+	if from.answered && !from.overdue {
+		return s.reconcile(from)
+	}
 	for _, g := range s.grants.Of(m.From, from.gathered) {
 		if !listed[g.id] {
 			s = s.withoutGrant(g)
 		}
 	}
 	from.answered = true
+	from.overdue = false
 	from.joined = true
 	from.up = true
 	return s.withMember(from).withReserved(), nil
 }
 
+// reconcile gathers again from a member whose link broke, since releases may have been lost with it.
+//
+// Its own report cannot be taken for that: grants may be on their way to it.
+func (s State) reconcile(m member) (State, []Effect) {
+	s = s.withSequence()
+	m.overdue = true
+	m.gathered = s.sequence
+	m.asked = s.now
+	return s.withMember(m), []Effect{s.gatherFrame(m.name)}
+}
+
+// relinked gathers again, which makes the entry instance ask again for what it still waits for.
+func (s State) relinked(m Relinked) (State, []Effect) {
+	n, _ := s.member(m.Entry)
+	if s.phase == idle || n.gone || !n.answered {
+		return s, nil // a Gather without an answer is repeated anyway
+	}
+	return s.reconcile(n)
+}
+
 // refuted says whether a grant that another entry instance reported is not in use: the one that
 // took the request has told its own grants, or asks again because it has not sent the request.
 func (s State) refuted(id message.ID) bool {
--- a/internal/decision/dispatch/pump.go
+++ b/internal/decision/dispatch/pump.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"teaselloft/internal/model/message"
 )
 
 // dispatchTries bounds the requests that one message looks at in a lane before it gives up on them.
@@ -11,7 +13,7 @@
 // pump grants free slots to the requests whose turn it is.
 func (s State) pump() (State, []Effect) {
 	var effects []Effect
-	for s.phase == active && s.now.Before(s.until) && s.queue.Len() > 0 {
+	for s.proven() && s.queue.Len() > 0 {
 		next, e, granted := s.grantNext()
 		s = next
 		if !granted {
@@ -22,12 +24,18 @@
 	return s, effects
 }
 
+// proven reports whether the owner may grant.
+func (s State) proven() bool {
+	return s.phase == active && s.now.Before(s.until)
+}
+
 // grantNext grants one slot to the first lane that may use one.
 func (s State) grantNext() (State, Effect, bool) {
 	c := s.capacity()
 	if c.free == 0 {
 		return s, nil, false
 	}
+	s = s.withCap(c)
 	for _, lane := range s.order() {
 		if s.queue.lanes[lane].length == 0 || !s.allowed(lane, c) {
 			continue
@@ -122,7 +130,7 @@
 func (s State) grantTo(t ticket, i int) (State, Effect) {
 	s.queue = s.queue.WithTurn(t, s.cost(t)).Without(t)
 	s = s.withSequence().withRecent(i)
-	if int(t.request.Class) > 0 && s.aged >= s.options.AgingPeriod-1 {
+	if t.class != message.Urgent && s.aged >= s.options.AgingPeriod-1 {
 		s.aged = 0
 	} else {
 		s.aged++
--- a/internal/decision/dispatch/step.go
+++ b/internal/decision/dispatch/step.go
@@ -8,8 +8,10 @@
 // Step applies a message to the state and returns the new state and the effects to carry out in order.
 func Step(s State, m Message) (State, []Effect) {
 	s = s.withNow(when(m))
-	s, effects := s.expire()
-	s, more := s.apply(m)
+	s, effects := s.apply(m)
+	s, more := s.expire()
+	effects = append(effects, more...)
+	s, more = s.remind()
 	effects = append(effects, more...)
 	s, more = s.advance().flush()
 	effects = append(effects, more...)
@@ -37,6 +39,8 @@
 		return s.holding(m)
 	case Reachable:
 		return s.reachable(m)
+	case Relinked:
+		return s.relinked(m)
 	case Gone:
 		return s.gone(m), nil
 	case Written:
@@ -69,6 +73,8 @@
 		return m.Now
 	case Reachable:
 		return m.Now
+	case Relinked:
+		return m.Now
 	case Gone:
 		return m.Now
 	case Written:
--- a/internal/decision/forward/state.go
+++ b/internal/decision/forward/state.go
@@ -21,6 +21,7 @@
 	floors   map[string]uint64               // lowest epoch accepted by service
 	static   map[string][]Slot               // by service, empty unless allowed
 	keys     Keys
+	fetches  int     // requests in phase fetching
 	budget   float64 // retries that may still be made
 }
 
@@ -28,6 +29,7 @@
 type target struct {
 	owner     record.Owner
 	reachable bool
+	down      time.Time // since when the link to a live owner is broken, zero for not
 	retry     time.Time // when an owner behind a broken link is asked again, zero for never
 }
 
@@ -52,6 +54,7 @@
 	executor   string
 	static     bool
 	exclude    []string
+	fetched    time.Time       // when the answer was asked for
 	holder     string          // entry instance that may have the answer
 	refusal    message.Refusal // to give when the holder has none
 }
@@ -124,20 +127,27 @@
 }
 
 func (s State) withRequest(q request) State {
-	old, ok := s.requests.Get(q.request.ID.Sequence)
-	if ok && old.phase == waiting {
-		s.waiting--
-	}
-	if q.phase == waiting {
-		s.waiting++
-	}
+	s = s.withoutRequest(q.request.ID)
+	s = s.counted(q.phase, 1)
 	s.requests = s.requests.Set(q.request.ID.Sequence, q)
 	return s
 }
 
+// counted returns a copy whose counters of waiting and fetching requests differ by n for a request in the phase.
+func (s State) counted(p phase, n int) State {
+	switch p {
+	case waiting:
+		s.waiting += n
+	case fetching:
+		s.fetches += n
+	case asked, granted:
+	}
+	return s
+}
+
 func (s State) withoutRequest(id message.ID) State {
-	if old, ok := s.requests.Get(id.Sequence); ok && old.phase == waiting {
-		s.waiting--
+	if old, ok := s.requests.Get(id.Sequence); ok {
+		s = s.counted(old.phase, -1)
 	}
 	s.requests = s.requests.Delete(id.Sequence)
 	return s
@@ -162,6 +172,11 @@
 	return found
 }
 
+// Holding returns what Gather would be answered with.
+func (s State) Holding(service string, epoch uint64, now time.Time) message.Holding {
+	return message.Holding{Service: service, Epoch: epoch, Grants: s.held(service, now)}
+}
+
 // held describes the grants in flight of a service for its next owner.
 func (s State) held(service string, now time.Time) []message.Held {
 	var grants []message.Held
--- a/internal/proof/process/system.go
+++ b/internal/proof/process/system.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -145,25 +146,30 @@
 	return os.WriteFile(s.base, data, 0o600)
 }
 
+// The ports below the range that the kernel gives to outgoing connections.
+const (
+	lowestPort  = 10_000
+	highestPort = 32_000
+)
+
 // freeBlock returns the first of n consecutive ports that were free a moment ago.
 func freeBlock(n int) (int, error) {
 	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		first := l.Addr().(*net.TCPAddr).Port
-		_ = l.Close()
-		if first+n < 65536 && blockFree(first, n) {
+		first := lowestPort + rand.IntN(highestPort-lowestPort-n)
+		if blockFree(first, n) {
 			return first, nil
 		}
 	}
 	return 0, fmt.Errorf("found no %d free ports in a row", n)
 }
 
+func bind(port int) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", fmt.Sprintf("127.0.0.1:%d", port))
+}
+
 func blockFree(first, n int) bool {
 	for p := first; p < first+n; p++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		l, err := bind(p)
 		if err != nil {
 			return false
 		}
@@ -211,8 +217,8 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
-	c := exec.Command(filepath.Join(s.options.Bin, binary), "daemon", filepath.Join(s.options.Dir, name+".json"))
+	defer func() { _ = log.Close() }()
+	c := exec.CommandContext(context.Background(), filepath.Join(s.options.Bin, binary), "daemon", filepath.Join(s.options.Dir, name+".json"))
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", name, err)
@@ -363,7 +369,7 @@
 	if err != nil {
 		return err
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
 		return err
