--- a/internal/bench/planner/command.go
+++ b/internal/bench/planner/command.go
@@ -2,88 +2,61 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
-	"slices"
+	"math"
 
-	"teaselloft/internal/core/command"
-
-	"github.com/urfave/cli/v3"
+	"teaselloft/internal/core/measure"
 )
 
-// ErrBound is returned when a measured value is beyond its bound.
-var ErrBound = errors.New("a bound is broken")
-
-// defaultSeed makes the generated fleets, durations and loads the same on every run.
-const defaultSeed = 20261204
+// Seed makes the generated fleets, durations and loads the same on every run.
+const Seed = 20261204
+
+// Areas are the measurements by name.
+var Areas = []Area{
+	{"wave", "roll-out time and moves of a wave over 1,300 instances", rollout},
+	{"record", "the planner's writes for a wave, also with a rack or a zone lost", platform},
+	{"step", "time of one wave decision from 50 to 5,000 instances", waveStep},
+	{"capacity", "buffer and moves to and from the spare pool", buffer},
+	{"quarantine", "jobs lost to a worker that fails everything", quarantine},
+	{"urgent", "start of urgent jobs and placement step at 1,300 workers", urgent},
+	{"growth", "placement step and cancellations from 50 to 5,000 workers", growth},
+}
 
-func init() {
-	command.Register(&cli.Command{
-		Name:  "planner",
-		Usage: "measure waves, capacity and placement at the two-year size",
-		Flags: []cli.Flag{
-			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the generated load", Value: defaultSeed},
-			&cli.StringSliceFlag{Name: "only", Usage: "`AREAS` to measure: wave, platform, step, capacity, quarantine, urgent, growth"},
-		},
-		Action: func(_ context.Context, c *cli.Command) error {
-			return Run(c.Root().Writer, c.Uint64("seed"), c.StringSlice("only"))
-		},
-	})
+// Area is one measurement.
+type Area struct {
+	Name    string
+	Usage   string
+	measure func(r *results, seed uint64) error
 }
 
-// areas are the measurements by name.
-var areas = []struct {
-	name    string
-	measure func(*results, uint64) error
-}{
-	{"wave", rollout},
-	{"platform", platform},
-	{"step", waveStep},
-	{"capacity", buffer},
-	{"quarantine", quarantine},
-	{"urgent", urgent},
-	{"growth", growth},
+// Measure runs the measurement with a seed.
+func (a Area) Measure(seed uint64) ([]measure.Result, error) {
+	r := &results{}
+	err := a.measure(r, seed)
+	return r.list, err
 }
 
-// Run prints the measurements of some areas, of all without names; the error wraps ErrBound when a bound is broken.
-func Run(w io.Writer, seed uint64, only []string) error {
-	fmt.Fprintf(w, "seed %d\n", seed)
-	r := &results{out: w}
-	for _, a := range areas {
-		if len(only) > 0 && !slices.Contains(only, a.name) {
-			continue
-		}
-		if err := a.measure(r, seed); err != nil {
-			return err
-		}
+func init() {
+	for _, a := range Areas {
+		measure.Register(measure.Benchmark{
+			Name:  "planner-" + a.Name,
+			Usage: fmt.Sprintf("measure %s (seed %d)", a.Usage, Seed),
+			Run:   func(context.Context) ([]measure.Result, error) { return a.Measure(Seed) },
+		})
 	}
-	return r.err()
 }
 
-// results prints measurements and remembers the broken bounds.
+// results collects what an area measures.
 type results struct {
-	out    io.Writer
-	broken []string
+	list []measure.Result
 }
 
-// bound prints a value that must not exceed its bound, next to the value of a baseline.
+// bound adds a value that must not exceed its bound, next to the value of a baseline.
 func (r *results) bound(name string, value float64, unit string, baseline, bound float64) {
-	ok := value <= bound
-	if !ok {
-		r.broken = append(r.broken, name)
-	}
-	fmt.Fprintf(r.out, "bench name=%s value=%.3f unit=%s baseline=%.3f bound=%.3f ok=%t\n", name, value, unit, baseline, bound, ok)
+	r.list = append(r.list, measure.Result{Name: name, Value: value, Unit: unit, Baseline: baseline, Bound: bound})
 }
 
-// figure prints a value without a stated target.
+// figure adds a value without a stated target.
 func (r *results) figure(name string, value float64, unit string) {
-	fmt.Fprintf(r.out, "figure name=%s value=%.3f unit=%s\n", name, value, unit)
-}
-
-func (r *results) err() error {
-	if len(r.broken) == 0 {
-		return nil
-	}
-	return fmt.Errorf("%w: %v", ErrBound, r.broken)
+	r.bound(name, value, unit, math.NaN(), math.NaN())
 }
--- a/internal/bench/planner/placement.go
+++ b/internal/bench/planner/placement.go
@@ -69,7 +69,7 @@
 	r.figure("placement.urgent.started", float64(len(p.waits)), "jobs")
 	r.figure("placement.urgent.waiting", float64(p.urgentWaiting()), "jobs")
 	r.figure("placement.queue", float64(p.state.Waiting()), "jobs")
-	r.bound("placement.step.p99", quantile(p.steps, 0.99).Seconds()*1e3, "ms", 0, boundStep)
+	r.bound("placement.step.p99", quantile(p.steps, 0.99).Seconds()*1e3, "ms", math.NaN(), boundStep)
 	return nil
 }
 
--- a/internal/bench/planner/planner_test.go
+++ b/internal/bench/planner/planner_test.go
@@ -1,30 +1,35 @@
 package planner_test
 
 import (
-	"bytes"
-	"io"
-	"strings"
+	"slices"
 	"testing"
 
 	"teaselloft/internal/bench/planner"
+	"teaselloft/internal/core/measure"
 
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against a measurement that stays silent, or a bound that is broken without an error.
+func run(tb testing.TB, name string) []measure.Result {
+	at := slices.IndexFunc(planner.Areas, func(a planner.Area) bool { return a.Name == name })
+	list, err := planner.Areas[at].Measure(planner.Seed)
+	qt.Assert(tb, err, qt.IsNil)
+	return list
+}
+
+// Guards against a measurement that is not made, or whose figures break their bounds.
 func TestCapacityIsMeasuredWithinItsBounds(t *testing.T) {
 	c := qt.New(t)
-	var out bytes.Buffer
-	c.Assert(planner.Run(&out, 1, []string{"capacity"}), qt.IsNil, qt.Commentf("%s", &out))
-	c.Assert(strings.Count(out.String(), "bench name="), qt.Equals, 2)
-	c.Assert(strings.Count(out.String(), "ok=true"), qt.Equals, 2)
+	list := run(t, "capacity")
+	c.Assert(list, qt.HasLen, 3)
+	for _, r := range list {
+		c.Assert(r.OK(), qt.IsTrue, qt.Commentf("%s", r))
+	}
 }
 
 // BenchmarkUrgent measures a minute of full load at the two-year size.
 func BenchmarkUrgent(b *testing.B) {
 	for b.Loop() {
-		if err := planner.Run(io.Discard, 1, []string{"urgent"}); err != nil {
-			b.Fatal(err)
-		}
+		run(b, "urgent")
 	}
 }
--- a/internal/bench/planner/rollout.go
+++ b/internal/bench/planner/rollout.go
@@ -65,7 +65,7 @@
 		ms := quantile(steps, 0.5).Seconds() * 1e3
 		r.figure("wave.step.median."+itoa(workers), ms, "ms")
 		if workers == twoYearWorkers {
-			r.bound("wave.step.p99", quantile(steps, 0.99).Seconds()*1e3, "ms", 0, boundStep)
+			r.bound("wave.step.p99", quantile(steps, 0.99).Seconds()*1e3, "ms", math.NaN(), boundStep)
 		}
 		x, y = append(x, math.Log(float64(workers))), append(y, math.Log(ms))
 	}
