--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -53,11 +53,11 @@
 step "an instance moves to the spare pool" "cal-12" $cli instance move cal-12 backoffice
 await "the instance has arrived" "cal-12 +backoffice .*serving" $cli instance list
 
-sed 's/"available": 9/"available": 8/' "$base" >"$dir/changed.json"
+sed 's/"available": 9/"available": 7/' "$base" >"$dir/changed.json"
 step "a changed configuration is accepted" "2" $cli apply --author demo "$dir/changed.json" "$overlay"
 await "it is in force everywhere" "^($entries)$" bash -c "$cli status --config --output json | grep -c '\"config\": 2'"
 
-step "a wave is planned" "cal-" $cli maintenance plan --pool calendar --rack a1 --drain 1s --reboot 2s demo-wave
+step "a wave is planned" "cal-" $cli maintenance plan --pool calendar --rack a1 --drain 1s --reboot 2s
 step "the wave starts" "demo-wave" $cli maintenance start --pool calendar --rack a1 --drain 1s --reboot 2s demo-wave
 await "the wave is done" "done" $cli maintenance status demo-wave
 step "requests are still answered" "answered" $cli request --entry $first GET flag-calendar/today
