Take nothing for a failure before the first instance list

In a trial with a local system a new planner rested for 2 minutes, since no instance counted as serving until the first list came. The test fails without the change.

--- a/internal/decision/wave/ledger.go
+++ b/internal/decision/wave/ledger.go
@@ -43,6 +43,9 @@
 
 // backOff returns draining instances of a service whose headroom unplanned failures have consumed.
 func (p *pass) backOff() {
+	if p.state.live == nil {
+		return // before the first instance list nothing counts as serving, which is no failure
+	}
 	for _, v := range p.services {
 		missing := -v.headroom()
 		if missing <= 0 {
--- a/internal/decision/wave/rule_test.go
+++ b/internal/decision/wave/rule_test.go
@@ -186,3 +186,30 @@
 	)
 	c.Assert(len(effects) > 0, qt.IsTrue)
 }
+
+// Guards against a new planner that takes the wait for its first instance list for failures, and then rests.
+func TestNoRestBeforeTheFirstInstanceList(t *testing.T) {
+	c := qt.New(t)
+	f := sample(2, fleet.Budget{Available: 6, Domain: fleet.DomainZone})
+	s, _ := steps(wave.New(wave.Defaults()),
+		wave.Configure{Fleet: f},
+		wave.Won{Now: start, Epoch: 1, Until: start.Add(time.Hour)},
+		wave.Loaded{},
+		wave.Changed{Record: record.Wave{ID: "w1", Phase: record.Running}, Revision: 1},
+		wave.Time{Now: start},
+	)
+	_, effects := steps(s,
+		wave.Listed{Now: start.Add(time.Second), Instances: listing(f)},
+		wave.Time{Now: start.Add(time.Second)},
+	)
+	taken := false
+	for _, e := range effects {
+		w, ok := e.(wave.Write)
+		if !ok {
+			continue
+		}
+		l, ok := w.Record.(record.Ledger)
+		taken = taken || ok && len(l.Out) > 0
+	}
+	c.Assert(taken, qt.IsTrue)
+}
