--- /dev/null
+++ b/cmd/bench/doc.go
@@ -0,0 +1,2 @@
+// Command bench runs the benchmarks and fails when a bound is broken.
+package main
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,3 @@
-// Command standin runs small stand-ins for the platform and for endpoints.
 package main
 
 import (
--- a/cmd/teaselloft/main.go
+++ b/cmd/teaselloft/main.go
@@ -1,4 +1,3 @@
-// Command teaselloft is the daemon of an entry instance and the operators' command line.
 package main
 
 import (
