--- a/internal/decision/entry/step.go
+++ b/internal/decision/entry/step.go
@@ -103,8 +103,6 @@
 		t.updateStatic()
 	case message.Inspect:
 		t.inspect(e.Instance)
-	case message.Written:
-		// The routing duty answers writes by Written, which carries the write itself.
 	default:
 		panic(fmt.Sprintf("entry: unknown event %T", e))
 	}
--- a/internal/link/platform/plugin.go
+++ b/internal/link/platform/plugin.go
@@ -21,9 +21,6 @@
 	DefaultPoll    = 1000
 )
 
-// writers is the number of write duties; one write whose answer was lost holds up none of the others.
-const writers = 4
-
 // Settings are the plug-in's settings section.
 type Settings struct {
 	Addresses []string `json:"addresses"` // base addresses of the key-value store
@@ -82,10 +79,6 @@
 		name := fmt.Sprintf("platform.call.%d", i)
 		duties = append(duties, kernel.Duty{Name: name, Run: newCallDuty(h, store, s).run})
 	}
-	for i := range writers {
-		name := fmt.Sprintf("platform.write.%d", i)
-		duties = append(duties, kernel.Duty{Name: name, Run: newWriteDuty(h, store).run})
-	}
 	h.OnStop(kernel.PhaseRelease, lease.stop)
 	h.Dump("platform", func() any {
 		return dump{Self: self.Self(), Lease: store.lease.Load(), Revision: follow.revision.Load(), Keys: follow.keys.Load()}
--- a/internal/link/route/duty.go
+++ b/internal/link/route/duty.go
@@ -93,7 +93,7 @@
 			delete(d.replies, e.ID)
 		}
 	case message.Received, message.Linked, message.Configured, message.Changed,
-		message.Listed, message.Renewed, message.Written, message.Inspect, message.Unanswered:
+		message.Listed, message.Renewed, message.Inspect, message.Unanswered:
 	}
 	d.step(ctx, entry.Event{Now: d.clock(), Event: e})
 }
