--- /dev/null
+++ b/internal/core/copymap/doc.go
@@ -0,0 +1,2 @@
+// Package copymap changes copies of small maps, for immutable values.
+package copymap
--- a/internal/decision/entry/backup.go
+++ b/internal/decision/entry/backup.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"teaselloft/internal/core/copymap"
+
 	"teaselloft/internal/decision/forward"
 	"teaselloft/internal/model/message"
 )
@@ -73,7 +75,7 @@
 // gathered reports the grants in flight to a new owner, with the copied grants of earlier owners
 // and those that this entry instance gave as an earlier owner.
 func (t *step) gathered(from string, g message.Gather) {
-	t.static = without(t.static, g.Service)
+	t.static = copymap.Without(t.static, g.Service)
 	t.forwardStep(forward.Gathered{Now: t.now, From: from, Gather: g, Others: t.copies(g)})
 }
 
--- a/internal/decision/entry/fleet.go
+++ b/internal/decision/entry/fleet.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"teaselloft/internal/core/copymap"
 	"teaselloft/internal/decision/correct"
 	"teaselloft/internal/decision/dispatch"
 	"teaselloft/internal/decision/member"
@@ -44,9 +45,9 @@
 func (t *step) instanceChanged(i record.Instance, deleted bool) {
 	old := t.instances[i.ID]
 	if deleted {
-		t.instances = without(t.instances, i.ID)
+		t.instances = copymap.Without(t.instances, i.ID)
 	} else {
-		t.instances = with(t.instances, i.ID, i)
+		t.instances = copymap.With(t.instances, i.ID, i)
 	}
 	for service := range t.dispatch {
 		if v, ok := t.fleet.Service(service); ok && (v.Pool == i.Pool || v.Pool == old.Pool) {
--- a/internal/decision/entry/owner.go
+++ b/internal/decision/entry/owner.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 
+	"teaselloft/internal/core/copymap"
+
 	"teaselloft/internal/decision/dispatch"
 	"teaselloft/internal/decision/forward"
 	"teaselloft/internal/decision/member"
@@ -17,7 +19,7 @@
 	if w.Service == message.PlannerService {
 		return
 	}
-	t.starting = with(t.starting, w.Service, epoch{number: w.Epoch, shared: w.Shared, current: w.Current})
+	t.starting = copymap.With(t.starting, w.Service, epoch{number: w.Epoch, shared: w.Shared, current: w.Current})
 	t.emit(ReadClaim{Service: w.Service, Epoch: w.Epoch})
 }
 
@@ -29,13 +31,13 @@
 		return
 	}
 	if m.Err != nil {
-		t.starting = without(t.starting, m.Service)
+		t.starting = copymap.Without(t.starting, m.Service)
 		t.emit(Notice{Event: "claim.unread", Service: m.Service, Epoch: m.Epoch, Detail: m.Err.Error()})
 		t.memberStep(member.Resign{Now: t.now, Service: m.Service, Epoch: m.Epoch})
 		return
 	}
-	t.starting = without(t.starting, m.Service)
-	t.dispatch = with(t.dispatch, m.Service, dispatch.New(m.Service, dispatch.Defaults()))
+	t.starting = copymap.Without(t.starting, m.Service)
+	t.dispatch = copymap.With(t.dispatch, m.Service, dispatch.New(m.Service, dispatch.Defaults()))
 	t.configureDispatch(m.Service)
 	t.dispatchStep(m.Service, dispatch.Start{
 		Now:      t.now,
@@ -59,14 +61,14 @@
 // lost ends an epoch; its grants in flight are watched until they have come back.
 func (t *step) lost(l member.Lost) {
 	t.emit(Notice{Event: "owner.lost", Service: l.Service, Epoch: l.Epoch})
-	t.starting = without(t.starting, l.Service)
+	t.starting = copymap.Without(t.starting, l.Service)
 	d, ok := t.dispatch[l.Service]
 	if !ok {
 		return
 	}
-	t.clearing = with(t.clearing, l.Service, epoch{number: l.Epoch, grants: t.outstanding(l.Service, d)})
+	t.clearing = copymap.With(t.clearing, l.Service, epoch{number: l.Epoch, grants: t.outstanding(l.Service, d)})
 	t.dispatchStep(l.Service, dispatch.Stop{Now: t.now})
-	t.dispatch = without(t.dispatch, l.Service)
+	t.dispatch = copymap.Without(t.dispatch, l.Service)
 	t.updateClearing()
 }
 
@@ -156,14 +158,14 @@
 	for service, e := range t.clearing {
 		for id, b := range e.grants {
 			if !t.now.Before(b.deadline.Add(linger)) {
-				e.grants = without(e.grants, id)
+				e.grants = copymap.Without(e.grants, id)
 			}
 		}
-		t.clearing = with(t.clearing, service, e)
+		t.clearing = copymap.With(t.clearing, service, e)
 		if len(e.grants) > 0 {
 			continue
 		}
-		t.clearing = without(t.clearing, service)
+		t.clearing = copymap.Without(t.clearing, service)
 		f := message.Cleared{Service: service, Epoch: e.number}
 		o, _ := t.member.Owner(service)
 		for _, entry := range o.Members {
--- a/internal/decision/entry/request.go
+++ b/internal/decision/entry/request.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"teaselloft/internal/core/copymap"
+
 	"teaselloft/internal/decision/correct"
 	"teaselloft/internal/decision/dispatch"
 	"teaselloft/internal/decision/forward"
@@ -84,11 +86,11 @@
 	case message.Backup:
 		t.keepBackup(f)
 	case message.Forget:
-		t.backups = without(t.backups, f.ID)
+		t.backups = copymap.Without(t.backups, f.ID)
 	case message.Inquire:
 		t.inquired(from, f)
 	case message.Report:
-		t.reports = with(t.reports, f.Service, report{at: t.now, loads: f.Loads})
+		t.reports = copymap.With(t.reports, f.Service, report{at: t.now, loads: f.Loads})
 	default:
 		panic(fmt.Sprintf("entry: unknown frame %T", f))
 	}
@@ -116,8 +118,8 @@
 	if !ok {
 		return
 	}
-	e.grants = without(e.grants, f.ID)
-	t.clearing = with(t.clearing, f.Service, e)
+	e.grants = copymap.Without(e.grants, f.ID)
+	t.clearing = copymap.With(t.clearing, f.Service, e)
 	t.updateClearing()
 }
 
--- a/internal/decision/entry/state.go
+++ b/internal/decision/entry/state.go
@@ -159,18 +159,3 @@
 	l, ok := s.listed[id]
 	return ok && l.State == "live"
 }
-
-func with[K comparable, V any](m map[K]V, key K, value V) map[K]V {
-	c := maps.Clone(m)
-	c[key] = value
-	return c
-}
-
-func without[K comparable, V any](m map[K]V, key K) map[K]V {
-	if _, ok := m[key]; !ok {
-		return m
-	}
-	c := maps.Clone(m)
-	delete(c, key)
-	return c
-}
--- a/internal/decision/entry/static.go
+++ b/internal/decision/entry/static.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"teaselloft/internal/core/copymap"
+
 	"teaselloft/internal/decision/dispatch"
 	"teaselloft/internal/decision/forward"
 	"teaselloft/internal/model/fleet"
@@ -15,7 +17,7 @@
 	if f.Epoch <= t.cleared[f.Service] {
 		return
 	}
-	t.cleared = with(t.cleared, f.Service, f.Epoch)
+	t.cleared = copymap.With(t.cleared, f.Service, f.Epoch)
 	t.updateStatic()
 }
 
@@ -40,11 +42,20 @@
 	return at
 }
 
+// staticLife is how long a failed keep-alive allows static shares: longer than the time limit
+// of a call and the pause after it, so that an outage does not interrupt them.
+const staticLife = 4 * time.Second
+
+// staticEnd returns when static shares end unless another keep-alive fails; a process that was paused must try again.
+func (s State) staticEnd() time.Time {
+	return s.unanswered.Add(staticLife)
+}
+
 // updateStatic starts or ends the use of static shares.
 func (t *step) updateStatic() {
 	for _, v := range t.fleet.Services {
 		at := t.staticAt(v.Name)
-		allowed := !at.IsZero() && !t.unanswered.Before(at)
+		allowed := !at.IsZero() && !t.unanswered.Before(at) && t.now.Before(t.staticEnd())
 		if allowed == t.static[v.Name] {
 			continue
 		}
@@ -58,9 +69,9 @@
 	if allowed {
 		m.Slots = t.staticSlots(v)
 		event = "static.start"
-		t.static = with(t.static, v.Name, true)
+		t.static = copymap.With(t.static, v.Name, true)
 	} else {
-		t.static = without(t.static, v.Name)
+		t.static = copymap.Without(t.static, v.Name)
 	}
 	t.emit(Notice{Event: event, Service: v.Name})
 	t.forwardStep(m)
--- a/internal/decision/entry/step.go
+++ b/internal/decision/entry/step.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"teaselloft/internal/core/copymap"
+
 	"teaselloft/internal/decision/dispatch"
 	"teaselloft/internal/decision/forward"
 	"teaselloft/internal/decision/member"
@@ -24,25 +26,22 @@
 
 // Step returns the state after a message and the effects to carry out in order.
 func Step(s State, m Message) (State, []Effect) {
-	t := &step{State: s}
+	t := &step{State: s, now: timeOf(m)}
+	if len(t.static) > 0 {
+		t.updateStatic()
+	}
 	switch m := m.(type) {
 	case Event:
-		t.now = m.Now
 		t.event(m.Event)
 	case Verified:
-		t.now = m.Now
 		t.memberStep(member.Verified{Now: m.Now, Service: m.Service, Epoch: m.Epoch, Alive: m.Alive})
 	case Claimed:
-		t.now = m.Now
 		t.claimRead(m)
 	case Written:
-		t.now = m.Now
 		t.written(m)
 	case Leave:
-		t.now = m.Now
 		t.memberStep(member.Leave{Now: m.Now})
 	case Wake:
-		t.now = m.Now
 		t.wake()
 	default:
 		panic(fmt.Sprintf("entry: unknown message %T", m))
@@ -55,6 +54,26 @@
 	return t.State, t.effects
 }
 
+// timeOf returns the time that a message carries.
+func timeOf(m Message) time.Time {
+	switch m := m.(type) {
+	case Event:
+		return m.Now
+	case Verified:
+		return m.Now
+	case Claimed:
+		return m.Now
+	case Written:
+		return m.Now
+	case Leave:
+		return m.Now
+	case Wake:
+		return m.Now
+	default:
+		panic(fmt.Sprintf("entry: unknown message %T", m))
+	}
+}
+
 // NextWake returns when Wake is due, zero for never.
 func (s State) NextWake() time.Time {
 	wake := s.member.NextWake()
@@ -72,6 +91,9 @@
 			sooner(b.deadline.Add(linger))
 		}
 	}
+	if len(s.static) > 0 {
+		sooner(s.staticEnd())
+	}
 	return wake
 }
 
@@ -152,7 +174,7 @@
 		return
 	}
 	d, effects := dispatch.Step(d, m)
-	t.dispatch = with(t.dispatch, service, d)
+	t.dispatch = copymap.With(t.dispatch, service, d)
 	for _, e := range effects {
 		switch e := e.(type) {
 		case dispatch.Reply:
--- a/internal/decision/forward/owner.go
+++ b/internal/decision/forward/owner.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"teaselloft/internal/core/copymap"
+
 	"teaselloft/internal/model/message"
 )
 
@@ -27,7 +29,7 @@
 	if ok && old.owner.Epoch == m.Owner.Epoch && old.owner.Entry == m.Owner.Entry {
 		t.down = old.down
 	}
-	s.owners = with(s.owners, service, t)
+	s.owners = copymap.With(s.owners, service, t)
 	return s.askAgain(service, m.Now, func(q request) bool {
 		return q.phase == waiting || q.epoch < m.Owner.Epoch || q.asked != m.Owner.Entry
 	})
@@ -41,7 +43,7 @@
 			continue
 		}
 		t = t.withLink(m.Up, m.Now)
-		s.owners = with(s.owners, service, t)
+		s.owners = copymap.With(s.owners, service, t)
 		var more []Effect
 		s, more = s.askAgain(service, m.Now, func(request) bool { return true })
 		effects = append(effects, more...)
@@ -81,7 +83,7 @@
 		}
 		t.reachable = true
 		t.retry = time.Time{}
-		s.owners = with(s.owners, service, t)
+		s.owners = copymap.With(s.owners, service, t)
 		var more []Effect
 		s, more = s.askAgain(service, m.Now, func(q request) bool { return q.phase == waiting })
 		effects = append(effects, more...)
@@ -145,8 +147,8 @@
 	if g.Epoch < s.floors[g.Service] {
 		return s, nil
 	}
-	s.floors = with(s.floors, g.Service, g.Epoch)
-	s.static = with(s.static, g.Service, nil)
+	s.floors = copymap.With(s.floors, g.Service, g.Epoch)
+	s.static = copymap.With(s.static, g.Service, nil)
 	report := Frame{To: m.From, Frame: message.Holding{
 		Service:  g.Service,
 		Epoch:    g.Epoch,
@@ -184,7 +186,7 @@
 
 // staticChanged starts or ends the use of static slots and starts waiting requests on them.
 func (s State) staticChanged(m Static) (State, []Effect) {
-	s.static = with(s.static, m.Service, m.Slots)
+	s.static = copymap.With(s.static, m.Service, m.Slots)
 	return s.refill(m.Service, m.Now, nil)
 }
 
--- a/internal/decision/forward/step.go
+++ b/internal/decision/forward/step.go
@@ -3,10 +3,11 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
+	"teaselloft/internal/core/copymap"
+
 	"teaselloft/internal/model/message"
 )
 
@@ -218,7 +219,7 @@
 	}
 	t.reachable = false
 	t.retry = now.Add(linkRetry)
-	s.owners = with(s.owners, service, t)
+	s.owners = copymap.With(s.owners, service, t)
 	return s
 }
 
@@ -295,9 +296,3 @@
 		return cmp.Compare(a.request.ID.Sequence, b.request.ID.Sequence)
 	})
 }
-
-func with[K comparable, V any](m map[K]V, key K, value V) map[K]V {
-	c := maps.Clone(m)
-	c[key] = value
-	return c
-}
--- a/internal/decision/member/state.go
+++ b/internal/decision/member/state.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"teaselloft/internal/core/copymap"
+
 	"github.com/cespare/xxhash/v2"
 
 	"teaselloft/internal/model/record"
@@ -123,32 +125,32 @@
 	} else {
 		s.joined = s.now
 	}
-	s.members = with(s.members, m.Entry, seen{member: m, since: since})
+	s.members = copymap.With(s.members, m.Entry, seen{member: m, since: since})
 	return s
 }
 
 // WithoutMember returns a copy without the member.
 func (s State) WithoutMember(entry string) State {
 	s.joined = s.now
-	s.members = without(s.members, entry)
+	s.members = copymap.Without(s.members, entry)
 	return s
 }
 
 // WithOwner returns a copy that knows an owner record.
 func (s State) WithOwner(o record.Owner, revision int64) State {
-	s.owners = with(s.owners, o.Service, owned{owner: o, revision: revision})
+	s.owners = copymap.With(s.owners, o.Service, owned{owner: o, revision: revision})
 	return s
 }
 
 // WithHeld returns a copy that holds the service in an epoch.
 func (s State) WithHeld(service string, epoch uint64) State {
-	s.held = with(s.held, service, epoch)
+	s.held = copymap.With(s.held, service, epoch)
 	return s
 }
 
 // WithoutHeld returns a copy that does not hold the service.
 func (s State) WithoutHeld(service string) State {
-	s.held = without(s.held, service)
+	s.held = copymap.Without(s.held, service)
 	return s
 }
 
@@ -159,12 +161,12 @@
 }
 
 func (s State) withAttempt(service string, a attempt) State {
-	s.attempts = with(s.attempts, service, a)
+	s.attempts = copymap.With(s.attempts, service, a)
 	return s
 }
 
 func (s State) withoutAttempt(service string) State {
-	s.attempts = without(s.attempts, service)
+	s.attempts = copymap.Without(s.attempts, service)
 	return s
 }
 
@@ -192,18 +194,3 @@
 func weight(service, entry string) uint64 {
 	return xxhash.Sum64String(service + "\x00" + entry)
 }
-
-func with[K comparable, V any](m map[K]V, key K, value V) map[K]V {
-	c := maps.Clone(m)
-	c[key] = value
-	return c
-}
-
-func without[K comparable, V any](m map[K]V, key K) map[K]V {
-	if _, ok := m[key]; !ok {
-		return m
-	}
-	c := maps.Clone(m)
-	delete(c, key)
-	return c
-}
