--- a/internal/decision/dispatch/epoch.go
+++ b/internal/decision/dispatch/epoch.go
@@ -42,8 +42,9 @@
 	s.revision = m.Revision
 	s.shared = distinct(slices.Clone(m.Shared))
 	s.current = distinct(slices.Clone(m.Current))
+	s.absent = m.Absent
 	needed := distinct(append(slices.Clone(m.Members), m.Self))
-	for _, name := range distinct(append(slices.Clone(s.shared), needed...)) {
+	for _, name := range distinct(append(s.sharers(), needed...)) {
 		_, found := slices.BinarySearch(needed, name)
 		s.members = append(s.members, member{name: name, needed: found, up: found})
 	}
@@ -287,6 +288,28 @@
 	return s.started.Add(s.options.Drain)
 }
 
+// sharers returns the members of earlier epochs that may use static shares.
+func (s State) sharers() []string {
+	names := slices.Clone(s.shared)
+	for _, a := range s.absent {
+		names = append(names, a.Entry)
+	}
+	return names
+}
+
+// dealt returns the members between which the slots were dealt when the member last learned its static share.
+func (s State) dealt(m member) []string {
+	if m.joined {
+		return s.current
+	}
+	for _, a := range s.absent {
+		if a.Entry == m.name {
+			return a.Members
+		}
+	}
+	return s.shared
+}
+
 // withReserved returns a copy in which the static shares of unreachable members are kept from grants.
 func (s State) withReserved() State {
 	reserved := map[string]int{}
@@ -294,11 +317,7 @@
 		if !m.reserves() {
 			continue
 		}
-		members := s.shared
-		if m.joined {
-			members = s.current
-		}
-		for id, n := range shareCounts(s.executors, s.service.Slots, members, m.name) {
+		for id, n := range shareCounts(s.executors, s.service.Slots, s.dealt(m), m.name) {
 			reserved[id] += n
 		}
 	}
--- a/internal/decision/dispatch/state.go
+++ b/internal/decision/dispatch/state.go
@@ -33,6 +33,7 @@
 	members []member
 	shared  []string // of the previous owner record
 	current []string // of this epoch's owner record
+	absent  []record.Absent
 
 	executors []executor
 	queue     queue
@@ -95,6 +96,7 @@
 	s.members = nil
 	s.shared = nil
 	s.current = nil
+	s.absent = nil
 	s.queue = newQueue()
 	s.grants = newGrants()
 	s.claims = newClaims()
--- a/internal/decision/entry/fleet.go
+++ b/internal/decision/entry/fleet.go
@@ -71,6 +71,7 @@
 	if !changed {
 		return
 	}
+	t.noteGone()
 	t.configureAll()
 	for service := range t.dispatch {
 		t.goneMembers(service)
@@ -90,3 +91,14 @@
 		}
 	}
 }
+
+// noteGone tells the ownership decision which members are dead, so that owner records stop naming them.
+func (t *step) noteGone() {
+	for _, service := range t.services() {
+		for _, entry := range t.sharers(service) {
+			if t.gone(entry) {
+				t.memberStep(member.Gone{Now: t.now, Entry: entry})
+			}
+		}
+	}
+}
--- a/internal/decision/entry/owner.go
+++ b/internal/decision/entry/owner.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 
 	"teaselloft/internal/core/copymap"
 
@@ -19,7 +20,7 @@
 	if w.Service == message.PlannerService {
 		return
 	}
-	t.starting = copymap.With(t.starting, w.Service, epoch{number: w.Epoch, shared: w.Shared, current: w.Current})
+	t.starting = copymap.With(t.starting, w.Service, epoch{number: w.Epoch, shared: w.Shared, current: w.Current, absent: w.Absent})
 	t.emit(ReadClaim{Service: w.Service, Epoch: w.Epoch})
 }
 
@@ -46,6 +47,7 @@
 		Members:  t.member.Members(),
 		Shared:   e.shared,
 		Current:  e.current,
+		Absent:   e.absent,
 		Claim:    m.Claim,
 		Revision: m.Revision,
 		Older:    m.Older,
@@ -129,6 +131,9 @@
 
 // memberChanged tells the dispatch decisions who can be using a static share.
 func (t *step) memberChanged(m record.Member, deleted bool) {
+	if deleted {
+		t.noteGone()
+	}
 	for service := range t.dispatch {
 		t.dispatchStep(service, dispatch.Reachable{Now: t.now, Entry: m.Entry, Up: !deleted})
 		t.goneMembers(service)
@@ -142,17 +147,32 @@
 
 // goneMembers frees the static shares of members that neither the store nor the instance list shows.
 func (t *step) goneMembers(service string) {
-	o, _ := t.member.Owner(service)
-	for _, entry := range o.Members {
-		if _, live := t.member.Member(entry); live {
-			continue
-		}
-		if _, live := t.listed[entry]; !live && t.listed != nil {
+	for _, entry := range t.sharers(service) {
+		if t.gone(entry) {
 			t.dispatchStep(service, dispatch.Gone{Now: t.now, Entry: entry})
 		}
 	}
 }
 
+// sharers returns the members of a service's owner record and those of earlier ones that it still names.
+func (s State) sharers(service string) []string {
+	o, _ := s.member.Owner(service)
+	names := slices.Clone(o.Members)
+	for _, a := range o.Absent {
+		names = append(names, a.Entry)
+	}
+	return names
+}
+
+// gone says whether neither the store nor the instance list shows an entry instance.
+func (s State) gone(entry string) bool {
+	if _, live := s.member.Member(entry); live || s.listed == nil {
+		return false
+	}
+	_, listed := s.listed[entry]
+	return !listed
+}
+
 // updateClearing drops grants past their deadline and announces epochs without grants.
 func (t *step) updateClearing() {
 	for service, e := range t.clearing {
--- a/internal/decision/entry/state.go
+++ b/internal/decision/entry/state.go
@@ -44,8 +44,9 @@
 // epoch is what is remembered of an epoch outside its dispatch state.
 type epoch struct {
 	number  uint64
-	shared  []string              // members of the previous owner record
-	current []string              // members of this epoch's owner record
+	shared  []string // members of the previous owner record
+	current []string // members of this epoch's owner record
+	absent  []record.Absent
 	grants  map[message.ID]backup // in flight
 }
 
--- a/internal/decision/member/message.go
+++ b/internal/decision/member/message.go
@@ -54,6 +54,12 @@
 	Epoch   uint64
 }
 
+// Gone says that a member is certainly dead, so that it uses no static share.
+type Gone struct {
+	Now   time.Time
+	Entry string
+}
+
 // Leave gives up every service and takes no more, before a stop.
 type Leave struct{ Now time.Time }
 
@@ -66,6 +72,7 @@
 func (Verified) message() {}
 func (Written) message()  {}
 func (Resign) message()   {}
+func (Gone) message()     {}
 func (Leave) message()    {}
 func (Tick) message()     {}
 
@@ -94,6 +101,7 @@
 	Epoch   uint64
 	Shared  []string // members of the previous owner record, sorted
 	Current []string // members of this epoch's owner record, sorted
+	Absent  []record.Absent
 }
 
 // Lost ends an epoch.
--- a/internal/decision/member/ownership_test.go
+++ b/internal/decision/member/ownership_test.go
@@ -155,7 +155,7 @@
 	case member.Written:
 		m.Now = w.now
 		w.step(e, m)
-	case member.Services, member.Changed, member.Resign, member.Leave, member.Tick:
+	case member.Services, member.Changed, member.Resign, member.Gone, member.Leave, member.Tick:
 	}
 }
 
--- a/internal/decision/member/state.go
+++ b/internal/decision/member/state.go
@@ -35,6 +35,7 @@
 	leaving  bool
 	services []string // sorted
 	members  map[string]seen
+	gone     map[string]bool
 	joined   time.Time // when a member last came or went
 	owners   map[string]owned
 	held     map[string]uint64 // epoch by service, for current epochs
@@ -58,6 +59,7 @@
 	retry   time.Time
 	shared  []string // members of the owner record before the attempt
 	current []string // members of the record that is written
+	absent  []record.Absent
 }
 
 type phase int
@@ -73,6 +75,7 @@
 	return State{
 		self:     self,
 		members:  map[string]seen{},
+		gone:     map[string]bool{},
 		owners:   map[string]owned{},
 		held:     map[string]uint64{},
 		attempts: map[string]attempt{},
@@ -125,6 +128,7 @@
 	} else {
 		s.joined = s.now
 	}
+	s.gone = copymap.Without(s.gone, m.Entry)
 	s.members = copymap.With(s.members, m.Entry, seen{member: m, since: since})
 	return s
 }
@@ -176,6 +180,23 @@
 	return ok && m.member.Incarnation == o.Incarnation
 }
 
+// absent returns the members of the last and of earlier epochs that may still use their static shares.
+func (s State) absent(last record.Owner) []record.Absent {
+	var absent []record.Absent
+	keep := func(a record.Absent) {
+		if _, live := s.members[a.Entry]; !live && !s.gone[a.Entry] {
+			absent = append(absent, a)
+		}
+	}
+	for _, a := range last.Absent {
+		keep(a)
+	}
+	for _, entry := range last.Members {
+		keep(record.Absent{Entry: entry, Members: last.Members})
+	}
+	return absent
+}
+
 // preferred returns the eligible member that is not leaving and has the highest rendezvous weight for the service.
 func (s State) preferred(service string) string {
 	names := s.Members()
--- a/internal/decision/member/step.go
+++ b/internal/decision/member/step.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"teaselloft/internal/core/copymap"
 	"teaselloft/internal/model/record"
 )
 
@@ -25,6 +26,10 @@
 		return s.at(m.Now).written(m)
 	case Resign:
 		return s.at(m.Now).resign(m)
+	case Gone:
+		s = s.at(m.Now)
+		s.gone = copymap.With(s.gone, m.Entry, true)
+		return s, nil
 	case Leave:
 		s = s.at(m.Now)
 		s.leaving = true
@@ -113,7 +118,7 @@
 		return s, effects
 	}
 	s = s.WithHeld(service, epoch)
-	return s, append(effects, Won{Service: service, Epoch: epoch, Shared: a.shared, Current: a.current}, Proved{Until: s.until})
+	return s, append(effects, Won{Service: service, Epoch: epoch, Shared: a.shared, Current: a.current, Absent: a.absent}, Proved{Until: s.until})
 }
 
 // renewed extends the proof; a proof that had lapsed first ends the epochs that relied on it.
@@ -168,11 +173,11 @@
 // write asks for the owner record of the given epoch; an empty entry leaves the service without an owner.
 func (s State) write(service string, epoch uint64, entry string) (State, []Effect) {
 	last := s.owners[service]
-	next := record.Owner{Service: service, Entry: entry, Epoch: epoch, Members: s.Members()}
+	next := record.Owner{Service: service, Entry: entry, Epoch: epoch, Members: s.Members(), Absent: s.absent(last.owner)}
 	if entry != "" {
 		next.Incarnation = s.members[entry].member.Incarnation
 	}
-	s = s.withAttempt(service, attempt{epoch: epoch, phase: writing, shared: last.owner.Members, current: next.Members})
+	s = s.withAttempt(service, attempt{epoch: epoch, phase: writing, shared: last.owner.Members, current: next.Members, absent: next.Absent})
 	return s, []Effect{Write{Owner: next, Expected: last.revision}}
 }
 
--- a/internal/model/record/record.go
+++ b/internal/model/record/record.go
@@ -47,6 +47,13 @@
 	Incarnation string   `json:"incarnation"`
 	Epoch       uint64   `json:"epoch"`
 	Members     []string `json:"members"` // sorted entries at the takeover
+	Absent      []Absent `json:"absent,omitempty"`
+}
+
+// Absent is a member of an earlier epoch that may still use the static share of that epoch.
+type Absent struct {
+	Entry   string   `json:"entry"`
+	Members []string `json:"members"` // of that epoch's record
 }
 
 // Claim lists the non-idempotent requests of a service that may have run.
