Renew the sequence of a grant that is sent again

Cause: the answer to a gather that was already on its way freed the grant, and its slot was granted twice: 3 requests in 2 slots (TestHistories, rapid., after 14,380 histories). The new test fails without the change.

--- a/internal/decision/dispatch/request.go
+++ b/internal/decision/dispatch/request.go
@@ -63,7 +63,12 @@
 		return s, []Effect{s.deny(m.From, m.Request.ID, refusal(message.ReasonNoOwner, 0))}
 	}
 	if !again {
-		// The frame was lost with its link; the entry instance uses one grant for each ID.
+		// The frame was lost with its link; the entry instance uses one grant for each ID. The sequence
+		// is renewed, since the answer to a Gather that is on its way cannot list the grant.
+		s = s.withSequence()
+		s.grants = s.grants.Without(g)
+		g.sequence = s.sequence
+		s.grants = s.grants.With(g)
 		return s, []Effect{Reply{To: m.From, Frame: g.frame(s.service.Name)}}
 	}
 	if g.hash != "" {
--- a/internal/decision/dispatch/takeover_test.go
+++ b/internal/decision/dispatch/takeover_test.go
@@ -180,3 +180,16 @@
 	_, effects = run(s, ask)
 	c.Assert(grants(effects), qt.HasLen, 1)
 }
+
+// Guards against a grant that is sent again and then freed by the answer to an earlier Gather.
+func TestGrantSentAgainSurvivesGather(t *testing.T) {
+	c := qt.New(t)
+	ask := dispatch.Ask{Now: at(1), From: "b", Request: request("b", 1, "")}
+	s, effects := run(owner(1, "e1"), ask)
+	c.Assert(grants(effects), qt.HasLen, 1)
+	s, effects = run(s, dispatch.Relinked{Now: at(2), Entry: "b"}, ask)
+	c.Assert(grants(effects), qt.HasLen, 1)
+	other := dispatch.Ask{Now: at(3), From: "a", Request: request("a", 2, "")}
+	_, effects = run(s, dispatch.Holding{Now: at(3), From: "b"}, other)
+	c.Assert(grants(effects), qt.HasLen, 0, qt.Commentf("the only slot is in use"))
+}
