--- /dev/null
+++ b/internal/proof/process/hop.go
@@ -0,0 +1,82 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"teaselloft/internal/standin/endpoint"
+)
+
+// Hop is what one way to an executor costs.
+type Hop struct {
+	Median time.Duration // of one request at a time
+	Rate   float64       // requests a second with several senders
+}
+
+// senders is the number of senders that measure a rate.
+const senders = 16
+
+// Measure sends requests without run time to a base address and its path, first one at a time, then together.
+func Measure(ctx context.Context, address string, requests int) (Hop, error) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: senders}, Timeout: callTimeout}
+	defer client.CloseIdleConnections()
+	times := make([]time.Duration, 0, requests)
+	for range requests {
+		start := time.Now()
+		if err := get(ctx, client, address); err != nil {
+			return Hop{}, err
+		}
+		times = append(times, time.Since(start))
+	}
+	slices.Sort(times)
+	start := time.Now()
+	errs := make([]error, senders)
+	var group sync.WaitGroup
+	for i := range senders {
+		group.Go(func() {
+			for range requests / senders {
+				if err := get(ctx, client, address); err != nil {
+					errs[i] = err
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return Hop{}, err
+		}
+	}
+	return Hop{Median: times[len(times)/2], Rate: float64(requests) / time.Since(start).Seconds()}, nil
+}
+
+func get(ctx context.Context, client *http.Client, address string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
+	if err != nil {
+		return err
+	}
+	r.Header.Set(endpoint.HeaderRun, "0s")
+	response, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", address, response.StatusCode)
+	}
+	return nil
+}
+
+// Executor returns the base address of the first executor of a service.
+func (s *System) Executor(service int) string {
+	return fmt.Sprintf("http://127.0.0.1:%d", s.port+portBlock+service*s.options.Executors)
+}
