--- a/internal/command/layout/files.go
+++ b/internal/command/layout/files.go
@@ -16,6 +16,9 @@
 // are missing from the first instance lists, which counts as one.
 const localHold = "3s"
 
+// localGrace is the shortest drain; a leaving executor of a local system gets no new work after 3 s.
+const localGrace = "3s"
+
 // object is a settings file or section.
 type object = map[string]any
 
@@ -96,7 +99,7 @@
 			},
 			"config": object{},
 			"route":  object{},
-			"plan":   object{"hold": localHold},
+			"plan":   object{"hold": localHold, "grace": localGrace},
 		},
 	}
 }
