--- a/internal/command/fleet/instance.go
+++ b/internal/command/fleet/instance.go
@@ -45,16 +45,7 @@
 }
 
 func listInstances(ctx context.Context, c *cli.Command) error {
-	if _, err := option.Arguments(c, 0, 0); err != nil {
-		return err
-	}
-	ctx, cancel := option.Limit(ctx, c)
-	defer cancel()
-	s, err := option.Connect(ctx, c)
-	if err != nil {
-		return err
-	}
-	v, err := readView(ctx, s)
+	v, err := connectView(ctx, c)
 	if err != nil {
 		return err
 	}
--- a/internal/command/fleet/pool.go
+++ b/internal/command/fleet/pool.go
@@ -41,16 +41,7 @@
 var states = []record.InstanceState{record.Serving, record.Draining, record.Rebooting, record.Out}
 
 func listPools(ctx context.Context, c *cli.Command) error {
-	if _, err := option.Arguments(c, 0, 0); err != nil {
-		return err
-	}
-	ctx, cancel := option.Limit(ctx, c)
-	defer cancel()
-	s, err := option.Connect(ctx, c)
-	if err != nil {
-		return err
-	}
-	v, err := readView(ctx, s)
+	v, err := connectView(ctx, c)
 	if err != nil {
 		return err
 	}
--- a/internal/command/fleet/view.go
+++ b/internal/command/fleet/view.go
@@ -5,6 +5,10 @@
 	"slices"
 	"strings"
 
+	"github.com/urfave/cli/v3"
+
+	"teaselloft/internal/command/option"
+
 	"teaselloft/internal/model/fleet"
 	"teaselloft/internal/model/record"
 	"teaselloft/internal/settings/store"
@@ -16,6 +20,20 @@
 	instances []record.Instance // sorted by id
 }
 
+// connectView reads the view for a command without arguments.
+func connectView(ctx context.Context, c *cli.Command) (view, error) {
+	if _, err := option.Arguments(c, 0, 0); err != nil {
+		return view{}, err
+	}
+	ctx, cancel := option.Limit(ctx, c)
+	defer cancel()
+	s, err := option.Connect(ctx, c)
+	if err != nil {
+		return view{}, err
+	}
+	return readView(ctx, s)
+}
+
 func readView(ctx context.Context, s store.Store) (view, error) {
 	head, _, err := store.ReadHead(ctx, s)
 	if err != nil {
--- a/internal/command/process/status.go
+++ b/internal/command/process/status.go
@@ -8,9 +8,10 @@
 	"strings"
 	"time"
 
+	"teaselloft/internal/protocol/operator"
+
 	"teaselloft/internal/command/option"
 	"teaselloft/internal/core/command"
-	"teaselloft/internal/decision/correct"
 	"teaselloft/internal/model/record"
 
 	"github.com/urfave/cli/v3"
@@ -29,34 +30,9 @@
 	})
 }
 
-// summary is what the operator listener answers at /status.
+// summary is an entry instance's status with the forms that the command prints.
 type summary struct {
-	Name         string          `json:"name"`
-	Zone         string          `json:"zone"`
-	Site         string          `json:"site"`
-	Config       uint64          `json:"config"`
-	Members      []record.Member `json:"members"`
-	Services     []service       `json:"services"`
-	Pools        []pool          `json:"pools"`
-	Waves        []record.Wave   `json:"waves,omitempty"`
-	Misspellings []correct.Tally `json:"misspellings,omitempty"`
-}
-
-type service struct {
-	Name   string   `json:"name"`
-	Fleet  string   `json:"fleet"`
-	Pool   string   `json:"pool"`
-	Owner  string   `json:"owner,omitempty"`
-	Epoch  uint64   `json:"epoch,omitempty"`
-	Budget int      `json:"budget"`
-	Out    []string `json:"out,omitempty"`
-}
-
-type pool struct {
-	Name      string         `json:"name"`
-	Fleet     string         `json:"fleet"`
-	Instances int            `json:"instances"`
-	States    map[string]int `json:"states"`
+	operator.Status
 }
 
 // version is the configuration in force in one entry instance.
--- a/internal/link/operator/link.go
+++ b/internal/link/operator/link.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync/atomic"
 
+	protocol "teaselloft/internal/protocol/operator"
+
 	"teaselloft/internal/core/kernel"
 	"teaselloft/internal/core/listen"
 	"teaselloft/internal/core/ring"
@@ -109,7 +111,7 @@
 	l.reply(w, l.host.Metrics.GetAll())
 }
 
-func (l *link) current() Status {
+func (l *link) current() protocol.Status {
 	return newStatus(l.host.Settings, *l.view.Load(), misspellings(l.host.State()))
 }
 
--- a/internal/link/operator/operator_test.go
+++ b/internal/link/operator/operator_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	protocol "teaselloft/internal/protocol/operator"
+
 	"teaselloft/internal/core/kernel"
 	"teaselloft/internal/decision/correct"
 	"teaselloft/internal/link/operator"
@@ -145,7 +147,7 @@
 	} {
 		c.Assert(kernel.Publish(ctx, k.Host(), message.ChangedTopic, message.Changed{Record: r}), qt.IsNil)
 	}
-	var got operator.Status
+	var got protocol.Status
 	for end := time.Now().Add(patience); len(got.Waves) == 0; {
 		c.Assert(time.Now().Before(end), qt.IsTrue)
 		status, body := call(c, "GET", url+"/status", token, "")
@@ -155,10 +157,10 @@
 	c.Check(got.Name, qt.Equals, "entry-1")
 	c.Check(got.Config, qt.Equals, uint64(12))
 	c.Check(got.Members[0].Entry, qt.Equals, "entry-2")
-	c.Check(got.Services, qt.DeepEquals, []operator.ServiceStatus{{
+	c.Check(got.Services, qt.DeepEquals, []protocol.Service{{
 		Name: "flag-calendar", Fleet: "halyard", Pool: "calendar", Owner: "entry-2", Epoch: 4, Budget: 7, Out: []string{"cal-2"},
 	}})
-	c.Check(got.Pools, qt.DeepEquals, []operator.PoolStatus{{
+	c.Check(got.Pools, qt.DeepEquals, []protocol.Pool{{
 		Name: "calendar", Fleet: "halyard", Instances: 2, States: map[string]int{"serving": 1, "draining": 1},
 	}})
 	c.Check(got.Misspellings[0].Corrected, qt.Equals, uint64(41))
--- a/internal/link/operator/status.go
+++ b/internal/link/operator/status.go
@@ -3,47 +3,17 @@
 import (
 	"encoding/json"
 
+	protocol "teaselloft/internal/protocol/operator"
+
 	"teaselloft/internal/core/kernel"
 	"teaselloft/internal/decision/correct"
 	"teaselloft/internal/model/fleet"
 	"teaselloft/internal/model/record"
 )
 
-// Status is the summary that /status and the page show.
-type Status struct {
-	Name         string          `json:"name"`
-	Zone         string          `json:"zone"`
-	Site         string          `json:"site"`
-	Config       uint64          `json:"config"`
-	Members      []record.Member `json:"members"`
-	Services     []ServiceStatus `json:"services"`
-	Pools        []PoolStatus    `json:"pools"`
-	Waves        []record.Wave   `json:"waves,omitempty"`
-	Misspellings []correct.Tally `json:"misspellings,omitempty"`
-}
-
-// ServiceStatus is the part of a Status about one service.
-type ServiceStatus struct {
-	Name   string   `json:"name"`
-	Fleet  string   `json:"fleet"`
-	Pool   string   `json:"pool"`
-	Owner  string   `json:"owner,omitempty"`
-	Epoch  uint64   `json:"epoch,omitempty"`
-	Budget int      `json:"budget"`        // serving instances needed at all times
-	Out    []string `json:"out,omitempty"` // instances that are out on purpose
-}
-
-// PoolStatus counts the instances of one pool by state.
-type PoolStatus struct {
-	Name      string         `json:"name"`
-	Fleet     string         `json:"fleet"`
-	Instances int            `json:"instances"`
-	States    map[string]int `json:"states"`
-}
-
 // newStatus composes the status of a process from its view and its state dump.
-func newStatus(s kernel.Settings, v View, misspellings []correct.Tally) Status {
-	return Status{
+func newStatus(s kernel.Settings, v View, misspellings []correct.Tally) protocol.Status {
+	return protocol.Status{
 		Name:         s.Name,
 		Zone:         s.Zone,
 		Site:         s.Site,
@@ -56,12 +26,12 @@
 	}
 }
 
-func serviceStatuses(v View) []ServiceStatus {
-	all := make([]ServiceStatus, 0, len(v.fleet.Services))
+func serviceStatuses(v View) []protocol.Service {
+	all := make([]protocol.Service, 0, len(v.fleet.Services))
 	for _, s := range v.fleet.Services {
 		owner, _ := v.owners.Get(s.Name)
 		ledger, _ := v.ledgers.Get(s.Name)
-		all = append(all, ServiceStatus{
+		all = append(all, protocol.Service{
 			Name: s.Name, Fleet: s.Fleet, Pool: s.Pool,
 			Owner: owner.Entry, Epoch: owner.Epoch,
 			Budget: s.Budget.Available, Out: ledger.Out,
@@ -70,7 +40,7 @@
 	return all
 }
 
-func poolStatuses(v View) []PoolStatus {
+func poolStatuses(v View) []protocol.Pool {
 	place := map[string]record.Instance{}
 	for _, p := range v.fleet.Pools {
 		for _, i := range p.Instances {
@@ -87,15 +57,15 @@
 		}
 		states[i.Pool][string(i.State)]++
 	}
-	all := make([]PoolStatus, 0, len(v.fleet.Pools))
+	all := make([]protocol.Pool, 0, len(v.fleet.Pools))
 	for _, p := range v.fleet.Pools {
 		all = append(all, poolStatus(p, states[p.Name]))
 	}
 	return all
 }
 
-func poolStatus(p fleet.Pool, states map[string]int) PoolStatus {
-	s := PoolStatus{Name: p.Name, Fleet: p.Fleet, States: states}
+func poolStatus(p fleet.Pool, states map[string]int) protocol.Pool {
+	s := protocol.Pool{Name: p.Name, Fleet: p.Fleet, States: states}
 	for _, n := range states {
 		s.Instances += n
 	}
--- /dev/null
+++ b/internal/protocol/operator/status.go
@@ -0,0 +1,38 @@
+package operator
+
+import (
+	"teaselloft/internal/decision/correct"
+	"teaselloft/internal/model/record"
+)
+
+// Status is the summary that /status and the page show.
+type Status struct {
+	Name         string          `json:"name"`
+	Zone         string          `json:"zone"`
+	Site         string          `json:"site"`
+	Config       uint64          `json:"config"`
+	Members      []record.Member `json:"members"`
+	Services     []Service       `json:"services"`
+	Pools        []Pool          `json:"pools"`
+	Waves        []record.Wave   `json:"waves,omitempty"`
+	Misspellings []correct.Tally `json:"misspellings,omitempty"`
+}
+
+// Service is the part of a Status about one service.
+type Service struct {
+	Name   string   `json:"name"`
+	Fleet  string   `json:"fleet"`
+	Pool   string   `json:"pool"`
+	Owner  string   `json:"owner,omitempty"`
+	Epoch  uint64   `json:"epoch,omitempty"`
+	Budget int      `json:"budget"`        // serving instances needed at all times
+	Out    []string `json:"out,omitempty"` // instances that are out on purpose
+}
+
+// Pool counts the instances of one pool by state.
+type Pool struct {
+	Name      string         `json:"name"`
+	Fleet     string         `json:"fleet"`
+	Instances int            `json:"instances"`
+	States    map[string]int `json:"states"`
+}
