--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 ENTRIES ?= 3
+SEED ?= 1
 
 .PHONY: build format lint test run demo bench failures
 
@@ -18,3 +19,12 @@
 
 run: build
 	ENTRIES=$(ENTRIES) scripts/run.sh
+
+demo: build
+	scripts/demo.sh
+
+bench:
+	go run ./cmd/bench all
+
+failures: build
+	go test ./internal/proof/process -count=1 -v -timeout 20m -bin $(CURDIR)/bin -full -seed $(SEED)
--- a/internal/decision/dispatch/epoch.go
+++ b/internal/decision/dispatch/epoch.go
@@ -18,6 +18,7 @@
 	gone     bool
 	gathered uint64    // sequence of the latest Gather
 	asked    time.Time // when the latest Gather was sent
+	overdue  bool      // told its grants without a Gather, after its link broke, and was asked again
 }
 
 // reserves reports whether the member may be using its static share.
@@ -93,7 +94,7 @@
 
 // reminder returns when the member is asked again, zero for never.
 func (m member) reminder(o Options) time.Time {
-	if m.asked.IsZero() || m.answered || m.gone || !m.up {
+	if m.asked.IsZero() || m.answered && !m.overdue || m.gone || !m.up {
 		return time.Time{}
 	}
 	return m.asked.Add(o.Remind)
@@ -164,20 +165,35 @@
 		listed[h.ID] = true
 		s = s.hold(h)
 	}
-	if !known || from.answered {
+	if !known {
 		return s, nil
 	}
+	if from.answered && !from.overdue {
+		return s.reconcile(from)
+	}
 	for _, g := range s.grants.Of(m.From, from.gathered) {
 		if !listed[g.id] {
 			s = s.withoutGrant(g)
 		}
 	}
 	from.answered = true
+	from.overdue = false
 	from.joined = true
 	from.up = true
 	return s.withMember(from).withReserved(), nil
 }
 
+// reconcile gathers again from a member whose link broke, since releases may have been lost with it.
+//
+// Its own report cannot be taken for that: grants may be on their way to it.
+func (s State) reconcile(m member) (State, []Effect) {
+	s = s.withSequence()
+	m.overdue = true
+	m.gathered = s.sequence
+	m.asked = s.now
+	return s.withMember(m), []Effect{s.gatherFrame(m.name)}
+}
+
 // refuted says whether a grant that another entry instance reported is not in use: the one that
 // took the request has told its own grants, or asks again because it has not sent the request.
 func (s State) refuted(id message.ID) bool {
--- a/internal/decision/forward/owner.go
+++ b/internal/decision/forward/owner.go
@@ -10,6 +10,9 @@
 // linkRetry is the pause before an owner that could not be reached or was not ready is asked again.
 const linkRetry = 100 * time.Millisecond
 
+// linkLimit is how long requests wait for a broken link; a dead owner's service is taken over within 3 s.
+const linkLimit = 4 * time.Second
+
 // fetchLimit bounds the wait for a stored answer, since the frames can be lost with their link.
 const fetchLimit = time.Second
 
@@ -20,7 +23,11 @@
 	if ok && old.owner.Epoch > m.Owner.Epoch {
 		return s, nil
 	}
-	s.owners = with(s.owners, service, target{owner: m.Owner, reachable: m.Reachable && m.Owner.Entry != ""})
+	t := target{owner: m.Owner, reachable: m.Reachable && m.Owner.Entry != ""}
+	if ok && old.owner.Epoch == m.Owner.Epoch && old.owner.Entry == m.Owner.Entry {
+		t.down = old.down
+	}
+	s.owners = with(s.owners, service, t)
 	return s.askAgain(service, m.Now, func(q request) bool {
 		return q.phase == waiting || q.epoch < m.Owner.Epoch || q.asked != m.Owner.Entry
 	})
@@ -33,11 +40,7 @@
 		if t.owner.Entry != m.Entry {
 			continue
 		}
-		t.reachable = m.Up
-		t.retry = time.Time{}
-		if !m.Up {
-			t.retry = m.Now.Add(linkRetry)
-		}
+		t = t.withLink(m.Up, m.Now)
 		s.owners = with(s.owners, service, t)
 		var more []Effect
 		s, more = s.askAgain(service, m.Now, func(request) bool { return true })
@@ -49,6 +52,26 @@
 	return s.giveUpFetches(effects, func(q request) bool { return q.holder == m.Entry })
 }
 
+// withLink returns a copy whose link came up or went down.
+func (t target) withLink(up bool, now time.Time) target {
+	t.reachable = up
+	t.retry = time.Time{}
+	if up {
+		t.down = time.Time{}
+		return t
+	}
+	t.retry = now.Add(linkRetry)
+	if t.down.IsZero() {
+		t.down = now
+	}
+	return t
+}
+
+// cutOff says whether the owner lives but has been out of reach for so long that callers had better try elsewhere.
+func (t target) cutOff(now time.Time) bool {
+	return !t.down.IsZero() && now.Sub(t.down) >= linkLimit
+}
+
 // tick asks the owners behind broken links again, which makes the link dial.
 func (s State) tick(m Tick) (State, []Effect) {
 	var effects []Effect
@@ -159,13 +182,13 @@
 	return s.refill(m.Service, m.Now, nil)
 }
 
-// refill starts waiting requests of a service on free static slots.
+// refill starts waiting requests of a service on free static slots, and refuses the non-idempotent ones.
 func (s State) refill(service string, now time.Time, effects []Effect) (State, []Effect) {
 	if len(s.static[service]) == 0 {
 		return s, effects
 	}
 	s, more := s.askAgain(service, now, func(q request) bool {
-		return q.phase == waiting && q.request.Idempotent
+		return q.phase == waiting
 	})
 	return s, append(effects, more...)
 }
--- a/internal/decision/forward/state.go
+++ b/internal/decision/forward/state.go
@@ -29,6 +29,7 @@
 type target struct {
 	owner     record.Owner
 	reachable bool
+	down      time.Time // since when the link to a live owner is broken, zero for not
 	retry     time.Time // when an owner behind a broken link is asked again, zero for never
 }
 
@@ -171,6 +172,11 @@
 	return found
 }
 
+// Holding returns what Gather would be answered with.
+func (s State) Holding(service string, epoch uint64, now time.Time) message.Holding {
+	return message.Holding{Service: service, Epoch: epoch, Grants: s.held(service, now)}
+}
+
 // held describes the grants in flight of a service for its next owner.
 func (s State) held(service string, now time.Time) []message.Held {
 	var grants []message.Held
--- a/internal/decision/forward/step.go
+++ b/internal/decision/forward/step.go
@@ -19,6 +19,9 @@
 // noOwnerRetry is the Retry-After of requests refused because no owner is known; a takeover takes less than 3 s.
 const noOwnerRetry = 3 * time.Second
 
+// outageRetry is the Retry-After of non-idempotent requests during an outage of the platform.
+const outageRetry = 5 * time.Second
+
 // Step returns the state after a message and the effects to carry out.
 func Step(s State, m Message) (State, []Effect) {
 	switch m := m.(type) {
@@ -94,6 +97,20 @@
 	if slot, ok := s.freeSlot(q); ok {
 		return s.send(q, slot, 0, true)
 	}
+	if len(s.static[q.request.Service]) > 0 && !q.request.Idempotent {
+		return s.refuse(q, message.Refusal{
+			Reason:     message.ReasonNoClaim,
+			Detail:     "the platform, which records non-idempotent requests, does not answer",
+			RetryAfter: outageRetry,
+		})
+	}
+	if ok && t.cutOff(now) {
+		return s.refuse(q, message.Refusal{
+			Reason:     message.ReasonNoOwner,
+			Detail:     "the link to the owner of the service is broken",
+			RetryAfter: time.Second,
+		})
+	}
 	if q.phase != waiting || s.waiting < MaxWaiting {
 		q.phase = waiting
 		q.asked = ""
