--- a/cmd/teaselloft/main.go
+++ b/cmd/teaselloft/main.go
@@ -12,12 +12,18 @@
 	_ "teaselloft/internal/command/request"
 	_ "teaselloft/internal/link/caller"
 	_ "teaselloft/internal/link/config"
+	_ "teaselloft/internal/link/desk"
 	_ "teaselloft/internal/link/endpoint"
 	_ "teaselloft/internal/link/entry"
+	_ "teaselloft/internal/link/follow"
+	_ "teaselloft/internal/link/member"
 	_ "teaselloft/internal/link/operator"
+	_ "teaselloft/internal/link/peer"
 	_ "teaselloft/internal/link/plan"
 	_ "teaselloft/internal/link/platform"
+	_ "teaselloft/internal/link/pool"
 	_ "teaselloft/internal/link/route"
+	_ "teaselloft/platform"
 )
 
 func main() {
--- /dev/null
+++ b/internal/core/logline/writer_test.go
@@ -0,0 +1,46 @@
+package logline_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"teaselloft/internal/core/logline"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a process that stops because nobody reads its standard output.
+func TestStuckReaderDoesNotBlock(t *testing.T) {
+	c := qt.New(t)
+	r, w := io.Pipe() // nobody reads
+	defer func() { _ = r.Close() }()
+	l := logline.New(w)
+	ended := make(chan struct{})
+	go func() {
+		for range 10 * logline.Capacity {
+			_, _ = l.Write([]byte("line\n"))
+		}
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		c.Fatal("writer blocks")
+	}
+	c.Assert(l.Dropped() > 0, qt.IsTrue)
+}
+
+// Guards against lines that are lost when a process ends in order.
+func TestCloseWritesWhatWaits(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	l := logline.New(&out)
+	for range 50 {
+		_, _ = l.Write([]byte("line\n"))
+	}
+	l.Close()
+	c.Assert(strings.Count(out.String(), "line\n"), qt.Equals, 50)
+}
--- /dev/null
+++ b/internal/decision/schedule/policy.go
@@ -0,0 +1,41 @@
+package schedule
+
+import "time"
+
+// Policy holds the limits and times of the schedule.
+type Policy struct {
+	Lease       time.Duration // that a hold asks for what runs on an executor; at most the executor's own limit
+	StartExpiry time.Duration // after which an order that an executor did not answer has no effect
+	HoldWait    time.Duration // that a hold waits for an end: how soon a silent executor is noticed
+	HoldPause   time.Duration // between holds that do not wait, while ends are not stored yet
+	HoldBackoff time.Duration // between holds that fail
+	CommitGap   time.Duration // between two writes, to stay within the store's rate with several owners
+	Retention   time.Duration // of the outcome of a job that has ended
+	EarlyStart  time.Duration // by which a repeated job may start before its time
+	Quarantine  time.Duration // for which an executor that fails tasks gets none
+	Notice      time.Duration // after which a lasting task that is not at work counts as away for any cause
+}
+
+// Fixed figures.
+const (
+	clockDrift   = 0.98 // an executor's clock may run 2% slow
+	proofMargin  = 100 * time.Millisecond
+	runsPerEpoch = 10_000 // run numbers of an epoch, so that a new owner's runs are above all earlier ones
+	maxSpace     = 31     // entries of a commit beside the owner's own
+)
+
+// DefaultPolicy returns the policy for executors that take leases of at most most.
+func DefaultPolicy(most time.Duration) Policy {
+	return Policy{
+		Lease:       min(most, 5*time.Second), // longer than a takeover, which takes about three seconds
+		StartExpiry: 2500 * time.Millisecond,
+		HoldWait:    700 * time.Millisecond,
+		HoldPause:   150 * time.Millisecond,
+		HoldBackoff: 200 * time.Millisecond,
+		CommitGap:   20 * time.Millisecond,
+		Retention:   200 * time.Second, // above the 120 s for which an outcome can be asked for
+		EarlyStart:  0,
+		Quarantine:  3 * time.Second,
+		Notice:      4500 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/link/desk/doc.go
@@ -0,0 +1,2 @@
+// Package desk passes the callers' requests about jobs to the owner of the pool.
+package desk
--- /dev/null
+++ b/internal/link/member/link.go
@@ -0,0 +1,168 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"teaselloft/internal/core/clock"
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/model/job"
+	"teaselloft/internal/model/port"
+	"teaselloft/internal/model/tenure"
+)
+
+// Name is the plug-in's name in the settings.
+const Name = "member"
+
+// Settings of the plug-in.
+type Settings struct {
+	Address string          `json:"address"` // at which other daemons reach this one
+	TTL     kernel.Duration `json:"ttl"`     // of the lease: how long a dead owner keeps its duties
+	Renew   kernel.Duration `json:"renew"`   // between renewals
+	Timeout kernel.Duration `json:"timeout"` // of a call
+}
+
+// Defaults of the settings. Four renewals may fail before the lease ends.
+var Defaults = Settings{
+	TTL:     kernel.Duration(2200 * time.Millisecond),
+	Renew:   kernel.Duration(500 * time.Millisecond),
+	Timeout: kernel.Duration(450 * time.Millisecond),
+}
+
+func init() {
+	kernel.Register(Name, Defaults, build)
+}
+
+type link struct {
+	host       *kernel.Host
+	log        *slog.Logger
+	settings   Settings
+	self       tenure.Member
+	lease      int64         // of the duty alone
+	registered time.Duration // of the duty alone
+	granted    atomic.Bool
+	proved     atomic.Int64
+	ended      chan struct{}
+	leave      chan struct{}
+}
+
+func build(h *kernel.Host, s Settings) ([]kernel.Duty, error) {
+	l := &link{
+		host: h, log: h.Log.With("plugin", Name), settings: s,
+		self:  tenure.Member{Name: h.Settings.Name, Address: s.Address, Zone: h.Settings.Zone, Start: time.Now().UnixMilli()},
+		ended: make(chan struct{}), leave: make(chan struct{}),
+	}
+	kernel.Provide[port.Membership](h, l)
+	h.OnStop(kernel.PhaseDrain, func(ctx context.Context) error {
+		close(l.leave)
+		select {
+		case <-l.ended:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	})
+	return []kernel.Duty{{Name: "member.lease", Run: l.run}}, nil
+}
+
+// Self implements port.Membership.
+func (l *link) Self() (tenure.Member, bool) { return l.self, l.granted.Load() }
+
+// Proved implements port.Membership.
+func (l *link) Proved() time.Duration { return time.Duration(l.proved.Load()) }
+
+// run renews the lease until the daemon stops, then ends it so that others take its duties over at once.
+func (l *link) run(ctx context.Context) error {
+	store, ok := kernel.Use[port.Store](l.host)
+	if !ok {
+		return errors.New("no plug-in provides a store")
+	}
+	pause := time.NewTicker(l.settings.Renew.Value())
+	defer pause.Stop()
+	for {
+		l.renew(ctx, store)
+		select {
+		case <-pause.C:
+		case <-l.leave:
+			l.end(ctx, store)
+			close(l.ended)
+			<-ctx.Done()
+			return ctx.Err()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (l *link) end(ctx context.Context, store port.Store) {
+	l.granted.Store(false)
+	l.proved.Store(0)
+	if l.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.settings.Timeout.Value())
+	defer cancel()
+	if err := store.Revoke(ctx, l.lease); err != nil {
+		l.log.Warn("lease was not ended", "event", "member.leave", "error", err)
+		return
+	}
+	l.log.Info("lease is ended", "event", "member.leave", "lease", l.lease)
+}
+
+// renew keeps the lease, or gets a new one for the same record.
+func (l *link) renew(ctx context.Context, store port.Store) {
+	ctx, cancel := context.WithTimeout(ctx, l.settings.Timeout.Value())
+	defer cancel()
+	sent := clock.Boot()
+	var err error
+	if l.lease != 0 {
+		err = store.Renew(ctx, l.lease)
+		if errors.Is(err, port.ErrLeaseGone) {
+			l.log.Warn("lease has ended", "event", "member.lapsed", "lease", l.lease, "proved", l.Proved()-sent)
+			l.lease = 0
+			l.proved.Store(0)
+		}
+	}
+	if l.lease != 0 && err == nil && l.missing() {
+		l.log.Warn("record is missing", "event", "member.missing", "lease", l.lease)
+		l.lease = 0
+	}
+	if l.lease == 0 {
+		err = l.register(ctx, store)
+	}
+	if err != nil {
+		l.log.Info("lease was not renewed", "event", "member.late", "lease", l.lease, "proved", l.Proved()-sent, "error", err)
+		return
+	}
+	l.proved.Store(int64(sent + l.settings.TTL.Value()))
+}
+
+// missing reports whether the store has lost the record although the lease is renewed.
+func (l *link) missing() bool {
+	d, ok := kernel.Use[port.Directory](l.host)
+	if !ok || clock.Boot()-l.registered < l.settings.TTL.Value() {
+		return false
+	}
+	m, ok := d.Directory().Members[l.self.Name]
+	return d.Directory().Listed && (!ok || m.Start != l.self.Start)
+}
+
+func (l *link) register(ctx context.Context, store port.Store) error {
+	lease, err := store.Grant(ctx, l.settings.TTL.Value())
+	if err != nil {
+		return err
+	}
+	_, err = store.Apply(ctx, port.Change{Writes: []port.Write{{
+		Key: tenure.PrefixMember + l.self.Name, Value: job.Encode(l.self), Lease: lease,
+	}}})
+	if err != nil {
+		return err
+	}
+	l.lease, l.registered = lease, clock.Boot()
+	l.granted.Store(true)
+	l.log.Info("registered", "event", "member.registered", "lease", lease, "start", l.self.Start, "address", l.self.Address)
+	return nil
+}
--- /dev/null
+++ b/internal/link/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries requests about jobs between daemons, over WebSocket with CBOR.
+package peer
--- /dev/null
+++ b/internal/link/pool/owner.go
@@ -0,0 +1,280 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"teaselloft/internal/core/clock"
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/core/ring"
+	"teaselloft/internal/decision/schedule"
+	"teaselloft/internal/model/job"
+	"teaselloft/internal/model/port"
+	"teaselloft/internal/model/site"
+	"teaselloft/internal/model/tenure"
+)
+
+// Capacities of an owner's rings.
+const (
+	messageCapacity = 4096 // requests, reports and outcomes that wait for a decision
+	batch           = 64   // messages decided before starts and writes go out
+	orderCapacity   = 512  // orders that wait for one executor
+	adviceCapacity  = 64   // steps that wait for advice
+)
+
+// owner runs one pool that this process owns.
+type owner struct {
+	link     *link
+	pool     string
+	epoch    uint64
+	self     tenure.Member
+	messages *ring.Ring[schedule.Message]
+	commits  *ring.Ring[schedule.Commit]
+	advice   *ring.Ring[schedule.Advise]
+	state    atomic.Pointer[schedule.State]
+	first    []schedule.Effect
+	writer   writer
+	context  context.Context
+	cancel   context.CancelFunc
+	ended    chan struct{}
+	channels map[string]*channel // of the duty alone
+	informed informed            // of the claiming duty alone
+
+	mutex   sync.Mutex
+	token   uint64
+	replies map[uint64]*ring.Ring[schedule.Answer]
+	closed  bool
+}
+
+// informed is what the owner was last told of the directory.
+type informed struct {
+	config    *site.Config
+	executors map[string]site.Executor
+}
+
+func kernelStore(h *kernel.Host) (port.Store, bool) { return kernel.Use[port.Store](h) }
+
+func newOwner(ctx context.Context, l *link, store port.Store, s schedule.State, first []schedule.Effect, revision int64, self tenure.Member) *owner {
+	o := &owner{
+		link: l, pool: s.Pool, epoch: s.Epoch, self: self, first: first,
+		messages: ring.New[schedule.Message]("pool.messages", messageCapacity, ring.Refuse, l.host.Metrics),
+		commits:  ring.New[schedule.Commit]("pool.commits", 1, ring.Block, l.host.Metrics),
+		advice:   ring.New[schedule.Advise]("pool.advice", adviceCapacity, ring.Refuse, l.host.Metrics),
+		writer:   writer{store: store, key: tenure.PrefixChain + s.Pool, revision: revision, chain: tenure.Chain{Epoch: s.Epoch, Name: self.Name, Start: self.Start}},
+		ended:    make(chan struct{}), channels: map[string]*channel{}, replies: map[uint64]*ring.Ring[schedule.Answer]{},
+	}
+	o.context, o.cancel = context.WithCancel(ctx)
+	o.state.Store(&s)
+	return o
+}
+
+// run decides on messages until the pool is given up.
+func (o *owner) run(ctx context.Context) {
+	defer close(o.ended)
+	defer o.finish()
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	duties.Go(func() { o.write(ctx) })
+	duties.Go(func() { o.ask(ctx) })
+	o.perform(ctx, &duties, o.first)
+	pause := time.NewTicker(tickEvery)
+	defer pause.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-o.messages.Items():
+			o.step(ctx, &duties, m)
+			for n := 1; n < batch && o.messages.Len() > 0; n++ {
+				o.step(ctx, &duties, <-o.messages.Items())
+			}
+		case <-pause.C:
+			o.step(ctx, &duties, schedule.Tick{Now: clock.Boot(), Unix: time.Now().UnixMilli()})
+		}
+		o.step(ctx, &duties, schedule.Pump{Now: clock.Boot()})
+	}
+}
+
+func (o *owner) step(ctx context.Context, duties *sync.WaitGroup, m schedule.Message) {
+	s, effects := schedule.Step(*o.state.Load(), m)
+	o.state.Store(&s)
+	o.perform(ctx, duties, effects)
+}
+
+// perform carries effects out; none of them waits.
+func (o *owner) perform(ctx context.Context, duties *sync.WaitGroup, effects []schedule.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case schedule.Answer:
+			o.answer(e)
+		case schedule.Commit:
+			if err := o.commits.Push(ctx, e); err != nil {
+				return // the pool is given up
+			}
+		case schedule.StartRun:
+			o.order(ctx, e.Executor, startOrder(e))
+		case schedule.StopRun:
+			o.order(ctx, e.Executor, stopOrder(e))
+		case schedule.PaceRun:
+			o.order(ctx, e.Executor, paceOrder(e))
+		case schedule.HoldRuns:
+			o.hold(ctx, e)
+		case schedule.Connect:
+			o.connect(ctx, duties, e.Executor)
+		case schedule.Disconnect:
+			o.disconnect(e.Executor)
+		case schedule.Advise:
+			if err := o.advice.Push(ctx, e); err != nil {
+				o.tell(ctx, schedule.Advised{Step: e.Step, Now: clock.Boot(), Err: err})
+			}
+		case schedule.Superseded:
+			o.link.drop(o, "an executor has seen a newer owner", "executor", e.Executor)
+		case schedule.Note:
+			o.link.log.Log(ctx, e.Level, e.Event, append([]any{"event", e.Event, "pool", o.pool, "epoch", o.epoch}, e.Attrs...)...)
+		default:
+			panic("pool: effect is not handled")
+		}
+	}
+}
+
+// tell queues a message for the deciding duty; outcomes are never refused.
+func (o *owner) tell(ctx context.Context, m schedule.Message) {
+	if err := o.messages.Push(ctx, m); err == nil || !errors.Is(err, ring.ErrFull) {
+		return
+	}
+	go func() { _ = o.messages.PushWait(ctx, m) }() // fails only when the pool is given up
+}
+
+// inform passes on what has changed in the directory.
+func (o *owner) inform(ctx context.Context, d tenure.Directory) {
+	if d.Config != nil && d.Config != o.informed.config {
+		o.informed.config = d.Config
+		o.tell(ctx, schedule.Configured{Config: d.Config})
+	}
+	if !d.Reported {
+		return
+	}
+	listed, _ := d.Of(o.pool, 0)
+	same := len(listed) == len(o.informed.executors) && o.informed.executors != nil
+	for _, e := range listed {
+		before, ok := o.informed.executors[e.ID]
+		same = same && ok && before.Same(e)
+	}
+	if same {
+		return
+	}
+	o.informed.executors = map[string]site.Executor{}
+	for _, e := range listed {
+		o.informed.executors[e.ID] = e
+	}
+	o.tell(ctx, schedule.Reported{Now: clock.Boot(), Executors: listed})
+}
+
+// call queues a request and waits for its answer.
+func (o *owner) call(ctx context.Context, message func(token uint64) schedule.Message) (schedule.Answer, error) {
+	reply := ring.Reply[schedule.Answer]()
+	o.mutex.Lock()
+	if o.closed {
+		o.mutex.Unlock()
+		return schedule.Answer{}, port.ErrNotOwner
+	}
+	o.token++
+	token := o.token
+	o.replies[token] = reply
+	o.mutex.Unlock()
+	if err := o.messages.Push(ctx, message(token)); err != nil {
+		o.forget(token)
+		return schedule.Answer{}, port.ErrNotAccepted
+	}
+	a, err := reply.Pull(ctx)
+	if err != nil {
+		o.forget(token)
+		return a, port.ErrUnsure
+	}
+	return a, a.Err
+}
+
+func (o *owner) forget(token uint64) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	delete(o.replies, token)
+}
+
+func (o *owner) answer(a schedule.Answer) {
+	o.mutex.Lock()
+	reply, ok := o.replies[a.Token]
+	delete(o.replies, a.Token)
+	o.mutex.Unlock()
+	if ok {
+		_ = reply.Push(context.Background(), a) // the ring of one answer has room
+	}
+}
+
+// finish answers what still waits; whether it took effect is for the next owner to say.
+func (o *owner) finish() {
+	o.cancel()
+	o.mutex.Lock()
+	o.closed = true
+	replies := o.replies
+	o.replies = map[uint64]*ring.Ring[schedule.Answer]{}
+	o.mutex.Unlock()
+	for token, reply := range replies {
+		_ = reply.Push(context.Background(), schedule.Answer{Token: token, Err: port.ErrNotOwner}) // the ring of one answer has room
+	}
+	for id := range o.channels {
+		o.disconnect(id)
+	}
+}
+
+// Submit implements port.Jobs.
+func (o *owner) Submit(ctx context.Context, s job.Submission) error {
+	_, err := o.call(ctx, func(token uint64) schedule.Message {
+		return schedule.Submit{Token: token, Now: clock.Boot(), Unix: time.Now().UnixMilli(), Submission: s}
+	})
+	return err
+}
+
+// State implements port.Jobs; an unknown job is reported only while this daemon is certain to be the owner.
+func (o *owner) State(_ context.Context, id job.ID) (job.State, error) {
+	look := o.state.Load().Look(id)
+	if look.Known {
+		return look.State, nil
+	}
+	return 0, o.unknown()
+}
+
+func (o *owner) unknown() error {
+	m, ok := kernel.Use[port.Membership](o.link.host)
+	if !ok || clock.Boot() >= m.Proved() {
+		return port.ErrUnavailable
+	}
+	return port.ErrNoJob
+}
+
+// Cancel implements port.Jobs.
+func (o *owner) Cancel(ctx context.Context, id job.ID) error {
+	_, err := o.call(ctx, func(token uint64) schedule.Message {
+		return schedule.Cancel{Token: token, Now: clock.Boot(), ID: id}
+	})
+	if errors.Is(err, port.ErrNoJob) {
+		return o.unknown()
+	}
+	return err
+}
+
+// Pending implements port.Jobs.
+func (o *owner) Pending(_ context.Context, queue string) (int, error) {
+	return o.state.Load().Pending(queue), nil
+}
+
+// Vacate implements port.Jobs.
+func (o *owner) Vacate(ctx context.Context, executors []string, length time.Duration) ([]string, error) {
+	a, err := o.call(ctx, func(token uint64) schedule.Message {
+		now := clock.Boot()
+		return schedule.Vacate{Token: token, Now: now, Until: now + length, Executors: executors}
+	})
+	return a.Empty, err
+}
