--- a/internal/decision/schedule/recover.go
+++ b/internal/decision/schedule/recover.go
@@ -22,6 +22,10 @@
 func Recover(s State, c *site.Config, stored []Stored, executors []site.Executor) (State, []Effect) {
 	t := &turn{s: s}
 	t.s.config = c
+	for _, e := range executors {
+		t.s.unsettled[e.ID] = true
+	}
+	t.s.settleBy = t.s.now + time.Duration(float64(t.s.policy.Lease)/clockDrift) + time.Second
 	recovered := 0
 	for _, x := range stored {
 		if x.Record.Submission == nil {
@@ -36,10 +40,6 @@
 		recovered++
 		t.recoverJob(x)
 	}
-	for _, e := range executors {
-		t.s.unsettled[e.ID] = true
-	}
-	t.s.settleBy = t.s.now + time.Duration(float64(t.s.policy.Lease)/clockDrift) + time.Second
 	t.emit(note(slog.LevelInfo, "pool.recovered", "pool", t.s.Pool, "epoch", t.s.Epoch, "open", recovered,
 		"ended", len(stored)-recovered, "executors", len(executors), "config", c.Version))
 	t.dueOccurrences()
--- a/internal/link/follow/link.go
+++ b/internal/link/follow/link.go
@@ -25,6 +25,7 @@
 	Margin  kernel.Duration `json:"margin"`  // after which a watch without an answer is taken for silent
 	Timeout kernel.Duration `json:"timeout"` // of a list
 	Pause   kernel.Duration `json:"pause"`   // after a call that failed
+	Gather  kernel.Duration `json:"gather"`  // between two watches of the executors, whose entries change all the time
 }
 
 // Defaults of the settings. Short waits bound how long a connection that went silent stays unnoticed.
@@ -33,6 +34,7 @@
 	Margin:  kernel.Duration(700 * time.Millisecond),
 	Timeout: kernel.Duration(1500 * time.Millisecond),
 	Pause:   kernel.Duration(150 * time.Millisecond),
+	Gather:  kernel.Duration(400 * time.Millisecond),
 }
 
 func init() {
@@ -81,6 +83,7 @@
 	remove func(d tenure.Directory, key string) tenure.Directory
 	keys   func(tenure.Directory) []string
 	listed func(tenure.Directory) tenure.Directory
+	gather time.Duration // between two watches
 }
 
 // run lists a prefix and follows its changes, again and again.
@@ -101,15 +104,15 @@
 			l.log.Info("history was dropped, reading anew", "event", "follow.history", "prefix", s.prefix)
 			continue
 		}
-		l.pause(ctx)
+		l.pause(ctx, l.settings.Pause.Value())
 	}
 	return ctx.Err()
 }
 
-func (l *link) pause(ctx context.Context) {
+func (l *link) pause(ctx context.Context, length time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(l.settings.Pause.Value()):
+	case <-time.After(length):
 	}
 }
 
@@ -144,7 +147,7 @@
 	events, at, err := store.Watch(call, s.prefix, after, wait)
 	if err != nil && !errors.Is(err, port.ErrHistory) {
 		l.heard(s, err)
-		l.pause(ctx)
+		l.pause(ctx, l.settings.Pause.Value())
 		return after, ctx.Err() // the watch goes on where it was
 	}
 	l.heard(s, nil)
@@ -161,6 +164,9 @@
 		}
 		return d
 	})
+	if s.gather > 0 {
+		l.pause(ctx, s.gather)
+	}
 	return max(at, after), nil
 }
 
@@ -242,6 +248,7 @@
 	a := l.announcements()
 	return subject{
 		prefix: a.Executors(),
+		gather: l.settings.Gather.Value(),
 		put: func(d tenure.Directory, i port.Item) tenure.Directory {
 			e, err := a.Executor(i)
 			if err != nil {
