Keep a commit within 32 entries, its condition included

Cause: a full commit had 33 entries; the store refused it with 400, which counted as an unknown outcome and was repeated for good.

--- a/internal/decision/schedule/policy.go
+++ b/internal/decision/schedule/policy.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"teaselloft/internal/model/port"
+)
 
 // Policy holds the limits and times of the schedule.
 type Policy struct {
@@ -20,8 +24,8 @@
 const (
 	clockDrift   = 0.98 // an executor's clock may run 2% slow
 	proofMargin  = 100 * time.Millisecond
-	runsPerEpoch = 10_000 // run numbers of an epoch, so that a new owner's runs are above all earlier ones
-	maxSpace     = 31     // entries of a commit beside the owner's own
+	runsPerEpoch = 10_000             // run numbers of an epoch, so that a new owner's runs are above all earlier ones
+	maxSpace     = port.MaxChange - 2 // entries of a commit beside the condition and the write of the owner's chain
 )
 
 // DefaultPolicy returns the policy for executors that take leases of at most most.
--- a/internal/decision/schedule/recover.go
+++ b/internal/decision/schedule/recover.go
@@ -40,7 +40,7 @@
 		recovered++
 		t.recoverJob(x)
 	}
-	t.emit(note(slog.LevelInfo, "pool.recovered", "pool", t.s.Pool, "epoch", t.s.Epoch, "open", recovered,
+	t.emit(note(slog.LevelInfo, "pool.recovered", "open", recovered,
 		"ended", len(stored)-recovered, "executors", len(executors), "config", c.Version))
 	t.dueOccurrences()
 	t.reported(executors)
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -76,7 +76,7 @@
 func (t *turn) tick(m Tick) {
 	t.s.now, t.s.unix = m.Now, m.Unix
 	if len(t.s.unsettled) > 0 && t.s.now >= t.s.settleBy {
-		t.emit(note(slog.LevelWarn, "pool.settled", "pool", t.s.Pool, "silent", len(t.s.unsettled)))
+		t.emit(note(slog.LevelWarn, "pool.settled", "silent", len(t.s.unsettled)))
 		t.settle(nil)
 	}
 	t.s.each(t.tickExecutor)
--- a/internal/link/pool/writer.go
+++ b/internal/link/pool/writer.go
@@ -40,7 +40,7 @@
 			return
 		}
 		began := clock.Boot()
-		err = o.writer.apply(ctx, c)
+		err = o.apply(ctx, c)
 		o.link.meters.commit.Update((clock.Boot() - began).Milliseconds())
 		switch {
 		case errors.Is(err, errSuperseded):
@@ -56,7 +56,8 @@
 }
 
 // apply returns nil once the write is stored, or an error that wraps port.ErrNotDone if it never will be.
-func (w *writer) apply(ctx context.Context, c schedule.Commit) error {
+func (o *owner) apply(ctx context.Context, c schedule.Commit) error {
+	w := &o.writer
 	next := w.chain
 	next.Number = c.Number
 	change := port.Change{
@@ -84,6 +85,8 @@
 		default:
 			unsure = true
 		}
+		o.link.log.Info("write is tried again", "event", "store.retry", "pool", o.pool, "number", c.Number, "writes", len(c.Writes),
+			"timeout", timeout, "unsure", unsure, "error", err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(writePause):
