Do maintenance waves; count failed runs by their numbers

The fleet is a duty of its own, taken over like a pool; the owners of pools empty executors before the orders.

--- a/internal/decision/schedule/held.go
+++ b/internal/decision/schedule/held.go
@@ -225,7 +225,7 @@
 	other := x.executor
 	run := x.run
 	t.withTask(task, func(x taskState) taskState {
-		return taskState{phase: done, run: x.run, failures: x.failures, failed: x.failed}
+		return taskState{phase: done, run: x.run, failed: x.failed}
 	})
 	if x.phase == starting || x.phase == running { // an earlier run was done: the present one is not needed
 		if e, ok := t.s.executors.Get(other); ok {
@@ -257,17 +257,16 @@
 func (t *turn) failed(id string, end port.EndedRun) {
 	j, x, _ := t.task(end.Task)
 	lasting := j.sub.Steps[end.Task.Step].Lasting
-	if x.failures == 0 && (!lasting || t.s.now-x.since < earlyFault) {
+	if len(x.failed) == 0 && (!lasting || t.s.now-x.since < earlyFault) {
 		t.blame(id)
 	}
-	if end.Run <= x.failed && x.failed != 0 {
+	if slices.Contains(x.failed, end.Run) {
 		return // counted before, by a former owner
 	}
 	t.withTask(end.Task, func(x taskState) taskState {
 		x.failedOn = id
 		if !lasting {
-			x.failures++
-			x.failed = end.Run
+			x.failed = append(slices.Clip(x.failed), end.Run)
 		}
 		return x
 	})
@@ -276,9 +275,9 @@
 		return
 	}
 	j, x, _ = t.task(end.Task)
-	if x.failures >= max(1, j.queue.Attempts) && !j.outcome.Final() {
+	if len(x.failed) >= max(1, j.queue.Attempts) && !j.outcome.Final() {
 		j.outcome = job.Failed
-		t.emit(note(slog.LevelInfo, "job.failed", "job", string(j.sub.ID), "task", end.Task.String(), "attempts", x.failures, "executor", id))
+		t.emit(note(slog.LevelInfo, "job.failed", "job", string(j.sub.ID), "task", end.Task.String(), "attempts", len(x.failed), "executor", id))
 		t.s = t.s.withJob(j)
 		t.s = t.s.withAllRanks(end.Task.Job)
 		j, _ = t.s.jobs.Get(end.Task.Job)
--- a/internal/decision/schedule/job.go
+++ b/internal/decision/schedule/job.go
@@ -25,10 +25,9 @@
 	run      uint64 // the highest run so far
 	executor string
 	since    time.Duration // of the phase
-	failures int
-	failed   uint64 // the last failed run
-	failedOn string // the executor of the last failed run
-	saved    string // the latest checkpoint
+	failed   []uint64      // the failed runs
+	failedOn string        // the executor of the last failed run
+	saved    string        // the latest checkpoint
 	notUntil time.Duration
 }
 
@@ -168,8 +167,8 @@
 				}
 				s.Done[i/8] |= 1 << (i % 8)
 			}
-			if t.failures > 0 {
-				s.Failures = append(s.Failures, job.Failure{Index: i, Count: t.failures, Run: t.failed})
+			if len(t.failed) > 0 {
+				s.Failures = append(s.Failures, job.Failure{Index: i, Runs: t.failed})
 			}
 		}
 		if s.Done != nil || s.Failures != nil {
@@ -195,7 +194,7 @@
 		for _, f := range s.Failures {
 			if f.Index >= 0 && f.Index < len(w.tasks) {
 				t := w.tasks[f.Index]
-				t.failures, t.failed = f.Count, f.Run
+				t.failed = f.Runs
 				w = w.withTask(f.Index, t)
 			}
 		}
--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"teaselloft/internal/model/job"
+	"teaselloft/internal/model/port"
 )
 
 // Summary is what the state dump shows of a pool.
@@ -58,3 +59,25 @@
 	})
 	return out
 }
+
+// Load returns what runs on the pool's executors and what waits for room.
+func (s State) Load() port.Load {
+	load := port.Load{Executors: map[string]port.ExecutorLoad{}}
+	s.each(func(e executorState) {
+		x := port.ExecutorLoad{CPU: e.used().CPU, Runs: len(e.runs)}
+		for _, r := range e.runs {
+			if r.serves || r.filler {
+				x.Lasting++
+			}
+		}
+		load.Executors[e.info.ID] = x
+	})
+	for i := s.ready.Iterator(); !i.Done(); {
+		_, p, _ := i.Next()
+		if j, ok := s.jobs.Get(p.job); ok {
+			w := j.works[p.work]
+			load.Backlog += int64(w.waiting) * j.sub.Steps[w.step].Demand().CPU
+		}
+	}
+	return load
+}
--- /dev/null
+++ b/internal/decision/upkeep/step.go
@@ -0,0 +1,271 @@
+package upkeep
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"teaselloft/internal/model/port"
+	"teaselloft/internal/model/site"
+	"teaselloft/internal/model/tenure"
+)
+
+// Figures of a wave.
+const (
+	cycle   = 5 * time.Second         // that one instance takes: to be emptied, its upkeep, and to be listed again
+	haste   = 0.6                     // share of the time until the deadline that a wave is planned to take
+	vanish  = 3 * time.Second         // after which an instance that is not listed has left
+	settle  = 1500 * time.Millisecond // after a takeover, in which the last orders of the former owner show in the list
+	tooLong = 12 * time.Second        // after which an instance that cannot be emptied lets another one go first
+)
+
+// Step returns the state after a message and what has to be done.
+func Step(s State, m Message) (State, []Effect) {
+	switch m := m.(type) {
+	case Tick:
+		return tick(s, m)
+	case Emptied:
+		return emptied(s, m)
+	case Ordered:
+		return answered(s, m)
+	case Unreported:
+		s.completed = maps.Clone(s.completed)
+		delete(s.completed, m.Wave)
+		return s.withReported(m.Wave, -1), nil
+	default:
+		panic(fmt.Sprintf("upkeep: message %T is not handled", m))
+	}
+}
+
+func tick(s State, m Tick) (State, []Effect) {
+	s.now = m.Now
+	if s.began == 0 {
+		s.began = m.Now
+	}
+	if m.Instances != nil {
+		s = s.list(m.Instances)
+	}
+	var out []Effect
+	for _, number := range slices.Sorted(maps.Keys(m.Directory.Waves)) {
+		w := m.Directory.Waves[number]
+		var effects []Effect
+		s, effects = s.advance(w, m)
+		out = append(out, effects...)
+	}
+	return s, append(out, s.vacate(m.Directory)...)
+}
+
+// list takes over the list of instances and ends the visits of those that are up again.
+func (s State) list(instances []site.Instance) State {
+	s.instances = make(map[string]site.Instance, len(instances))
+	for _, i := range instances {
+		s.instances[i.Name] = i
+	}
+	s.listed = s.now
+	for name, v := range s.visits {
+		i, ok := s.instances[name]
+		back := ok && i.State == site.InstanceUp && (i.Executor != v.executor || i.Executor == "")
+		if v.stage == away && (back && s.now-v.since > time.Second || !ok) {
+			s = s.withoutVisit(name)
+		}
+	}
+	return s
+}
+
+// advance starts further visits of a wave and reports its progress.
+func (s State) advance(w tenure.DeclaredWave, m Tick) (State, []Effect) {
+	if s.completed[w.Number] {
+		return s, nil
+	}
+	s.most, s.waves = maps.Clone(s.most), maps.Clone(s.waves)
+	s.most[w.Number], s.waves[w.Number] = max(1, w.Most), w.Instances
+	s, open := s.left(w)
+	var out []Effect
+	if len(open) == 0 {
+		s.completed = maps.Clone(s.completed)
+		s.completed[w.Number] = true
+		s = s.withReported(w.Number, -1)
+		return s, []Effect{
+			Report{Wave: w.Number, Done: s.names(w.Number), Completed: true},
+			Note{Level: slog.LevelInfo, Event: "wave.completed", Attrs: []any{"wave", w.Number, "instances", len(w.Instances), "after", s.now - w.Seen}},
+		}
+	}
+	if n, ok := s.reported[w.Number]; !ok || n != len(s.done[w.Number]) {
+		s = s.withReported(w.Number, len(s.done[w.Number]))
+		out = append(out, Report{Wave: w.Number, Done: s.names(w.Number)})
+	}
+	if s.listed == 0 {
+		return s, out
+	}
+	room := s.atOnce(w, len(open)) - s.visiting(w.Number)
+	for _, name := range s.order(open, m) {
+		if room <= 0 {
+			break
+		}
+		if _, ok := s.visits[name]; ok {
+			continue
+		}
+		i := s.instances[name]
+		s = s.withVisit(name, visit{wave: w.Number, stage: vacating, since: s.now, executor: i.Executor})
+		out = append(out, Note{Level: slog.LevelInfo, Event: "upkeep.planned", Attrs: []any{"instance", name, "wave", w.Number, "pool", i.Pool, "left", len(open)}})
+		room--
+	}
+	return s, out
+}
+
+// left returns the instances of a wave that have not had their upkeep; one that has left the site does not count.
+func (s State) left(w tenure.DeclaredWave) (State, []string) {
+	var open []string
+	for _, name := range w.Instances {
+		if s.done[w.Number][name] {
+			continue
+		}
+		if _, ok := s.instances[name]; !ok && s.listed != 0 {
+			if s.missing[name] == 0 {
+				s = s.withMissing(name, s.now)
+			} else if s.now-s.missing[name] > vanish {
+				continue
+			}
+		} else if s.missing[name] != 0 {
+			s = s.withMissing(name, 0)
+		}
+		open = append(open, name)
+	}
+	return s, open
+}
+
+// atOnce returns how many instances of a wave are visited at the same time, to end well before its deadline.
+func (s State) atOnce(w tenure.DeclaredWave, open int) int {
+	remaining := time.Duration(float64(w.Deadline)*haste) - (s.now - w.Seen)
+	n := w.Most
+	if remaining > cycle {
+		n = int(math.Ceil(float64(open) * float64(cycle) / float64(remaining)))
+	}
+	return min(max(n, 1), max(w.Most, 1))
+}
+
+func (s State) visiting(wave int64) int {
+	n := 0
+	for _, v := range s.visits {
+		if v.wave == wave && (v.stage != vacating || s.now-v.since < tooLong) {
+			n++
+		}
+	}
+	return n
+}
+
+// down counts the instances of a wave that are down for it, or may be, those that a former owner ordered included.
+func (s State) down(wave int64) int {
+	n := 0
+	for _, name := range s.waves[wave] {
+		v, visited := s.visits[name]
+		if visited && v.stage != vacating || s.instances[name].State == site.InstanceUpkeep {
+			n++
+		}
+	}
+	return n
+}
+
+// order sorts instances by how little their upkeep takes away: those on standby first, then the least loaded.
+func (s State) order(open []string, m Tick) []string {
+	cost := func(name string) int64 {
+		i, ok := s.instances[name]
+		if !ok || i.State != site.InstanceUp {
+			return math.MaxInt64
+		}
+		pool, ok := m.Directory.Config.Pool(i.Pool)
+		if ok && pool.Standby {
+			return -1
+		}
+		load, ok := m.Loads[i.Pool]
+		if !ok {
+			return math.MaxInt64 / 2
+		}
+		return load.Executors[i.Executor].CPU + load.Backlog
+	}
+	out := slices.Clone(open)
+	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(cost(a), cost(b)) })
+	return slices.DeleteFunc(out, func(name string) bool { return cost(name) == math.MaxInt64 })
+}
+
+// names returns the instances of a wave that have had their upkeep.
+func (s State) names(wave int64) []string { return slices.Sorted(maps.Keys(s.done[wave])) }
+
+// vacate asks for the executors of all visited instances to be emptied, and to be kept empty.
+func (s State) vacate(d tenure.Directory) []Effect {
+	pools := map[string][]string{}
+	var out []Effect
+	for _, name := range slices.Sorted(maps.Keys(s.visits)) {
+		v := s.visits[name]
+		i, ok := s.instances[name]
+		if !ok || v.stage == away {
+			continue
+		}
+		if pool, ok := d.Config.Pool(i.Pool); ok && pool.Standby || i.Executor == "" {
+			out = append(out, Vacate{Pool: "", Executors: []string{name}})
+			continue
+		}
+		pools[i.Pool] = append(pools[i.Pool], i.Executor)
+	}
+	for _, pool := range slices.Sorted(maps.Keys(pools)) {
+		out = append(out, Vacate{Pool: pool, Executors: pools[pool]})
+	}
+	return out
+}
+
+// emptied orders the upkeep of instances on which nothing runs; without a pool, Executors names instances on standby.
+func emptied(s State, m Emptied) (State, []Effect) {
+	var out []Effect
+	for _, name := range slices.Sorted(maps.Keys(s.visits)) {
+		v := s.visits[name]
+		i, ok := s.instances[name]
+		key := i.Executor
+		if m.Pool == "" {
+			key = name
+		}
+		if !ok || v.stage != vacating || !slices.Contains(m.Executors, key) || s.now >= m.Until {
+			continue
+		}
+		if s.down(v.wave) >= s.most[v.wave] || s.now-s.began < settle {
+			continue
+		}
+		v.stage, v.since, v.executor = ordered, s.now, i.Executor
+		s = s.withVisit(name, v)
+		out = append(out, Maintain{Instance: name, Wave: v.wave},
+			Note{Level: slog.LevelInfo, Event: "upkeep.ordered", Attrs: []any{"instance", name, "wave", v.wave, "executor", i.Executor}})
+	}
+	return s, out
+}
+
+// answered takes note of the outcome of an order; one that is not known is repeated, which has no further effect.
+func answered(s State, m Ordered) (State, []Effect) {
+	v, ok := s.visits[m.Instance]
+	if !ok || v.stage != ordered {
+		return s, nil
+	}
+	attrs := []any{"instance", m.Instance, "wave", v.wave, "error", m.Err}
+	switch {
+	case m.Err == nil:
+		v.stage, v.since = away, m.Now
+		s = s.withVisit(m.Instance, v).withDone(v.wave, m.Instance)
+		return s, []Effect{Note{Level: slog.LevelInfo, Event: "upkeep.begun", Attrs: attrs}}
+	case errors.Is(m.Err, port.ErrFenced):
+		return s, []Effect{Superseded{Instance: m.Instance}}
+	case errors.Is(m.Err, port.ErrNoInstance), errors.Is(m.Err, port.ErrWave):
+		s = s.withoutVisit(m.Instance).withDone(v.wave, m.Instance)
+		return s, []Effect{Note{Level: slog.LevelWarn, Event: "upkeep.rejected", Attrs: attrs}}
+	case errors.Is(m.Err, port.ErrInstanceBusy), errors.Is(m.Err, port.ErrNotDone):
+		s = s.withoutVisit(m.Instance)
+		return s, []Effect{Note{Level: slog.LevelInfo, Event: "upkeep.refused", Attrs: attrs}}
+	default:
+		return s, []Effect{
+			Note{Level: slog.LevelWarn, Event: "upkeep.unsure", Attrs: attrs},
+			Maintain{Instance: m.Instance, Wave: v.wave},
+		}
+	}
+}
--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -193,3 +193,15 @@
 	a, err := r.client.call(ctx, request{Call: callVacate, Pool: r.pool, Executors: executors, Length: length})
 	return a.Empty, err
 }
+
+// Load implements port.Jobs.
+func (r remote) Load(ctx context.Context) (port.Load, error) {
+	a, err := r.client.call(ctx, request{Call: callLoad, Pool: r.pool})
+	if err == nil && a.Load == nil {
+		return port.Load{}, port.ErrUnavailable
+	}
+	if err != nil {
+		return port.Load{}, err
+	}
+	return *a.Load, nil
+}
--- a/internal/link/peer/frame.go
+++ b/internal/link/peer/frame.go
@@ -20,6 +20,7 @@
 	callCancel
 	callPending
 	callVacate
+	callLoad
 )
 
 type request struct {
@@ -35,11 +36,12 @@
 }
 
 type response struct {
-	Number uint64    `cbor:"number"`
-	Code   int       `cbor:"code,omitempty"`
-	State  job.State `cbor:"state,omitempty"`
-	Count  int       `cbor:"count,omitempty"`
-	Empty  []string  `cbor:"empty,omitempty"`
+	Number uint64     `cbor:"number"`
+	Code   int        `cbor:"code,omitempty"`
+	State  job.State  `cbor:"state,omitempty"`
+	Count  int        `cbor:"count,omitempty"`
+	Empty  []string   `cbor:"empty,omitempty"`
+	Load   *port.Load `cbor:"load,omitempty"`
 }
 
 // codes are the errors that travel between daemons; a code is the index and never changes its meaning.
--- a/internal/link/peer/link.go
+++ b/internal/link/peer/link.go
@@ -105,6 +105,10 @@
 			r.Count, err = j.Pending(ctx, q.Queue)
 		case callVacate:
 			r.Empty, err = j.Vacate(ctx, q.Executors, q.Length)
+		case callLoad:
+			var load port.Load
+			load, err = j.Load(ctx)
+			r.Load = &load
 		default:
 			err = port.ErrNotOwner // of a newer version: it is asked elsewhere
 		}
--- /dev/null
+++ b/internal/link/pool/fleet.go
@@ -0,0 +1,242 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"teaselloft/internal/core/clock"
+	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/core/ring"
+	"teaselloft/internal/decision/schedule"
+	"teaselloft/internal/decision/upkeep"
+	"teaselloft/internal/model/job"
+	"teaselloft/internal/model/port"
+	"teaselloft/internal/model/site"
+	"teaselloft/internal/model/tenure"
+)
+
+// Times of the fleet's duty.
+const (
+	fleetEvery   = 250 * time.Millisecond // between two looks while a wave is open
+	fleetIdle    = 1 * time.Second        // between two looks otherwise
+	listTimeout  = 900 * time.Millisecond
+	loadTimeout  = 200 * time.Millisecond
+	vacateFor    = 1200 * time.Millisecond // that a pool's owner keeps executors empty after each call
+	vacateMargin = 700 * time.Millisecond  // of it that is left for the order to arrive
+	instanceWait = 800 * time.Millisecond  // for the answer to an order
+	outcomes     = 64                      // orders whose outcome waits
+)
+
+const prefixWave = "teaselloft/wave/" // the instances of a wave that have had their upkeep
+
+// fleet runs the duty that orders instances.
+type fleet struct {
+	tenancy
+	link      *link
+	directory port.Directory
+	instances port.Instances
+	state     atomic.Pointer[upkeep.State]
+	writer    writer
+	commits   uint64
+	outcomes  *ring.Ring[upkeep.Ordered]
+	context   context.Context
+	cancel    context.CancelFunc
+	ended     chan struct{}
+}
+
+// takeFleet takes the fleet over and reads which instances have had their upkeep.
+func (l *link) takeFleet(call, ctx context.Context, duty string, self tenure.Member, directory port.Directory) (tenant, error) {
+	instances, ok := kernel.Use[port.Instances](l.host)
+	if !ok {
+		return nil, errors.New("no plug-in provides the instance list")
+	}
+	t, err := l.takeOver(call, duty, self)
+	if err != nil {
+		return nil, err
+	}
+	items, _, err := t.store.List(call, prefixWave)
+	if err != nil {
+		return nil, fmt.Errorf("read waves: %w", err)
+	}
+	done := map[int64][]string{}
+	for _, i := range items {
+		var number int64
+		if _, err := fmt.Sscanf(strings.TrimPrefix(i.Key, prefixWave), "%d", &number); err != nil {
+			return nil, fmt.Errorf("item %q: %w", i.Key, err)
+		}
+		if done[number], err = job.Decode[[]string](i.Value); err != nil {
+			return nil, fmt.Errorf("item %q: %w", i.Key, err)
+		}
+	}
+	f := &fleet{
+		tenancy: t, link: l, directory: directory, instances: instances, writer: t.writer(), ended: make(chan struct{}),
+		outcomes: ring.New[upkeep.Ordered]("fleet.outcomes", outcomes, ring.Block, l.host.Metrics),
+	}
+	s := upkeep.New(done)
+	f.state.Store(&s)
+	f.context, f.cancel = context.WithCancel(ctx)
+	return f, nil
+}
+
+func (f *fleet) held() tenancy { return f.tenancy }
+
+func (f *fleet) inform(context.Context, tenure.Directory) {} // it reads the directory at each look
+
+func (f *fleet) dump() any { return f.state.Load().Summary() }
+
+func (f *fleet) stop() <-chan struct{} {
+	f.cancel()
+	return f.ended
+}
+
+// run looks at the fleet until the duty is given up.
+func (f *fleet) run() {
+	ctx := f.context
+	defer close(f.ended)
+	var instances []site.Instance
+	pause := time.NewTimer(0)
+	defer pause.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-f.outcomes.Items():
+			f.step(ctx, o)
+			continue
+		case <-pause.C:
+		}
+		d := f.directory.Directory()
+		if d.Config != nil {
+			var err error
+			instances, err = f.list(ctx)
+			if err != nil && ctx.Err() == nil {
+				f.link.log.Info("instance list was not read", "event", "fleet.list", "error", err)
+			}
+			f.step(ctx, upkeep.Tick{Now: clock.Boot(), Directory: d, Instances: instances, Loads: f.loads(ctx, d)})
+		}
+		if f.state.Load().Busy() {
+			pause.Reset(fleetEvery)
+		} else {
+			pause.Reset(fleetIdle)
+		}
+	}
+}
+
+func (f *fleet) list(ctx context.Context) ([]site.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return f.instances.List(ctx)
+}
+
+// jobs returns the owner of a pool, in this process or in another.
+func (f *fleet) jobs(pool string, d tenure.Directory) (port.Jobs, bool) {
+	if j, ok := f.link.Local(pool); ok {
+		return j, true
+	}
+	o, ok := d.Live(pool)
+	peers, known := kernel.Use[port.Peers](f.link.host)
+	if !ok || !known {
+		return nil, false
+	}
+	return peers.Remote(o), true
+}
+
+// loads asks the owners of the pools while a wave needs it.
+func (f *fleet) loads(ctx context.Context, d tenure.Directory) map[string]port.Load {
+	loads := map[string]port.Load{}
+	if !f.state.Load().Busy() {
+		return loads
+	}
+	for _, p := range d.Config.Pools {
+		j, ok := f.jobs(p.Name, d)
+		if p.Standby || !ok {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, loadTimeout)
+		load, err := j.Load(call)
+		cancel()
+		if err != nil {
+			f.link.log.Info("load of a pool is unknown", "event", "fleet.load", "pool", p.Name, "error", err)
+			continue
+		}
+		loads[p.Name] = load
+	}
+	return loads
+}
+
+func (f *fleet) step(ctx context.Context, m upkeep.Message) {
+	s, effects := upkeep.Step(*f.state.Load(), m)
+	f.state.Store(&s)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case upkeep.Vacate:
+			f.vacate(ctx, e)
+		case upkeep.Maintain:
+			f.order(ctx, e)
+		case upkeep.Report:
+			f.report(ctx, e)
+		case upkeep.Superseded:
+			f.link.drop(f, "an instance has seen a newer owner", "instance", e.Instance)
+		case upkeep.Note:
+			f.link.log.Log(ctx, e.Level, e.Event, append([]any{"event", e.Event, "epoch", f.epoch}, e.Attrs...)...)
+		default:
+			panic("pool: effect of the fleet is not handled")
+		}
+	}
+}
+
+// vacate asks a pool's owner to empty executors; instances on standby run nothing.
+func (f *fleet) vacate(ctx context.Context, e upkeep.Vacate) {
+	now := clock.Boot()
+	if e.Pool == "" {
+		f.step(ctx, upkeep.Emptied{Executors: e.Executors, Until: now + vacateFor})
+		return
+	}
+	j, ok := f.jobs(e.Pool, f.directory.Directory())
+	if !ok {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, loadTimeout)
+	empty, err := j.Vacate(call, e.Executors, vacateFor)
+	cancel()
+	if err != nil {
+		f.link.log.Info("executors were not emptied", "event", "fleet.vacate", "pool", e.Pool, "executors", len(e.Executors), "error", err)
+		return
+	}
+	f.step(ctx, upkeep.Emptied{Pool: e.Pool, Executors: empty, Until: now + vacateFor - vacateMargin})
+}
+
+// order sends an order beside the duty, which goes on meanwhile.
+func (f *fleet) order(ctx context.Context, e upkeep.Maintain) {
+	go func() {
+		call, cancel := context.WithTimeout(ctx, instanceWait)
+		defer cancel()
+		err := f.instances.Maintain(call, port.Order{Instance: e.Instance, Holder: f.self.Name, Fence: f.epoch}, e.Wave)
+		_ = f.outcomes.PushWait(ctx, upkeep.Ordered{Now: clock.Boot(), Instance: e.Instance, Err: err}) // fails only when the duty is given up
+	}()
+}
+
+// report stores how a wave stands.
+func (f *fleet) report(ctx context.Context, e upkeep.Report) {
+	announcements, ok := kernel.Use[port.Announcements](f.link.host)
+	if !ok {
+		return
+	}
+	f.commits++
+	c := schedule.Commit{Number: f.commits, Writes: []port.Write{
+		announcements.WaveStatus(e.Wave, e.Completed),
+		{Key: fmt.Sprintf("%s%d", prefixWave, e.Wave), Value: job.Encode(e.Done)},
+	}}
+	err := f.writer.apply(ctx, c, f.link.log)
+	switch {
+	case errors.Is(err, errSuperseded):
+		f.link.drop(f, err.Error())
+	case err != nil && ctx.Err() == nil:
+		f.link.log.Warn("state of a wave was not stored", "event", "fleet.report", "wave", e.Wave, "error", err)
+		f.step(ctx, upkeep.Unreported{Wave: e.Wave})
+	}
+}
--- a/internal/link/pool/link.go
+++ b/internal/link/pool/link.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,7 +50,7 @@
 	meters   meters
 
 	mutex    sync.Mutex
-	owners   map[string]*owner
+	tenants  map[string]tenant // by duty
 	stopping bool
 }
 
@@ -65,7 +67,7 @@
 
 func build(h *kernel.Host, s Settings) ([]kernel.Duty, error) {
 	l := &link{
-		host: h, log: h.Log.With("plugin", Name), settings: s, owners: map[string]*owner{},
+		host: h, log: h.Log.With("plugin", Name), settings: s, tenants: map[string]tenant{},
 		changed: ring.New[struct{}]("pool.changed", 1, ring.Refuse, h.Metrics),
 		taken:   ring.New[string]("pool.taken", 64, ring.Block, h.Metrics),
 		meters: meters{
@@ -87,12 +89,22 @@
 	return []kernel.Duty{{Name: "pool.claim", Run: l.run}}, nil
 }
 
+// tenant runs one duty that this process has.
+type tenant interface {
+	held() tenancy
+	run()
+	inform(ctx context.Context, d tenure.Directory)
+	// stop ends the duty; the channel closes when nothing of it runs any more.
+	stop() <-chan struct{}
+	dump() any
+}
+
 // Local implements port.Owners.
 func (l *link) Local(pool string) (port.Jobs, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	o, ok := l.owners[pool]
-	return o, ok
+	j, ok := l.tenants[pool].(port.Jobs)
+	return j, ok
 }
 
 // run claims duties without an owner and passes the directory on to the pools that are owned.
@@ -131,7 +143,7 @@
 			Now: clock.Boot(), Self: self, Member: member, StoreLost: lost != 0, StoreBack: back, Directory: directory.Directory(),
 		})
 		for _, duty := range claims {
-			if duty == tenure.Fleet || claiming[duty] || l.owns(duty) {
+			if claiming[duty] || l.owns(duty) {
 				continue
 			}
 			claiming[duty] = true
@@ -141,76 +153,79 @@
 }
 
 func (l *link) owns(duty string) bool {
-	_, ok := l.Local(duty)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	_, ok := l.tenants[duty]
 	return ok
 }
 
-// inform passes the directory on and gives up the pools that another daemon owns.
+// inform passes the directory on and gives up the duties that another daemon has.
 func (l *link) inform(ctx context.Context, d tenure.Directory) {
 	l.mutex.Lock()
-	owners := make([]*owner, 0, len(l.owners))
-	for _, o := range l.owners {
-		owners = append(owners, o)
-	}
+	tenants := slices.Collect(maps.Values(l.tenants))
 	l.mutex.Unlock()
-	for _, o := range owners {
-		if x, ok := d.Owners[o.pool]; ok && x.Epoch > o.epoch {
-			l.drop(o, "another daemon has taken it over", "by", x.Name, "newer", x.Epoch)
+	for _, t := range tenants {
+		if x, ok := d.Owners[t.held().duty]; ok && x.Epoch > t.held().epoch {
+			l.drop(t, "another daemon has taken it over", "by", x.Name, "newer", x.Epoch)
 			continue
 		}
-		o.inform(ctx, d)
+		t.inform(ctx, d)
 	}
 }
 
-// drop ends the ownership of a pool in this process.
-func (l *link) drop(o *owner, reason string, attrs ...any) {
+// drop ends a duty in this process.
+func (l *link) drop(t tenant, reason string, attrs ...any) {
+	duty := t.held().duty
 	l.mutex.Lock()
-	current := l.owners[o.pool] == o
+	current := l.tenants[duty] == t
 	if current {
-		delete(l.owners, o.pool)
+		delete(l.tenants, duty)
 	}
 	l.mutex.Unlock()
 	if !current {
 		return
 	}
 	l.meters.superseded.Inc(1)
-	l.log.Info("pool is given up", append([]any{"event", "pool.dropped", "pool", o.pool, "epoch", o.epoch, "reason", reason}, attrs...)...)
-	o.cancel()
+	l.log.Info("duty is given up", append([]any{"event", "duty.dropped", "duty", duty, "epoch", t.held().epoch, "reason", reason}, attrs...)...)
+	t.stop()
 }
 
-// take takes a pool over and adds its owner.
-func (l *link) take(ctx context.Context, pool string, self tenure.Member, directory port.Directory) {
-	defer func() { _ = l.taken.PushWait(ctx, pool) }() // fails only when the process ends
+// take takes a duty over and runs it.
+func (l *link) take(ctx context.Context, duty string, self tenure.Member, directory port.Directory) {
+	defer func() { _ = l.taken.PushWait(ctx, duty) }() // fails only when the process ends
 	call, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	began := clock.Boot()
-	o, err := l.takeOver(call, ctx, pool, self, directory)
+	take := l.takePool
+	if duty == tenure.Fleet {
+		take = l.takeFleet
+	}
+	t, err := take(call, ctx, duty, self, directory)
 	if err != nil {
-		l.log.Info("pool was not taken over", "event", "pool.claim", "pool", pool, "after", clock.Boot()-began, "error", err)
+		l.log.Info("duty was not taken over", "event", "duty.refused", "duty", duty, "after", clock.Boot()-began, "error", err)
 		return
 	}
 	l.meters.takeover.Update((clock.Boot() - began).Milliseconds())
+	l.log.Info("duty is taken over", "event", "duty.taken", "duty", duty, "epoch", t.held().epoch, "after", clock.Boot()-began)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.stopping {
-		o.cancel()
 		return
 	}
-	l.owners[pool] = o
-	go o.run(o.context)
+	l.tenants[duty] = t
+	go t.run()
 }
 
-// stop gives every pool up, so that their next owners find nothing on its way.
+// stop gives every duty up, so that the next owners find nothing on its way.
 func (l *link) stop(ctx context.Context) error {
 	l.mutex.Lock()
 	l.stopping = true
-	owners := l.owners
-	l.owners = map[string]*owner{}
+	tenants := l.tenants
+	l.tenants = map[string]tenant{}
 	l.mutex.Unlock()
-	for _, o := range owners {
-		o.cancel()
+	for _, t := range tenants {
 		select {
-		case <-o.ended:
+		case <-t.stop():
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -221,9 +236,9 @@
 func (l *link) dump() any {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	pools := map[string]any{}
-	for name, o := range l.owners {
-		pools[name] = o.state.Load().Summary()
+	duties := map[string]any{}
+	for name, t := range l.tenants {
+		duties[name] = t.dump()
 	}
-	return pools
+	return duties
 }
--- a/internal/link/pool/owner.go
+++ b/internal/link/pool/owner.go
@@ -27,10 +27,8 @@
 
 // owner runs one pool that this process owns.
 type owner struct {
+	tenancy
 	link     *link
-	pool     string
-	epoch    uint64
-	self     tenure.Member
 	messages *ring.Ring[schedule.Message]
 	commits  *ring.Ring[schedule.Commit]
 	advice   *ring.Ring[schedule.Advise]
@@ -55,15 +53,13 @@
 	executors map[string]site.Executor
 }
 
-func kernelStore(h *kernel.Host) (port.Store, bool) { return kernel.Use[port.Store](h) }
-
-func newOwner(ctx context.Context, l *link, store port.Store, s schedule.State, first []schedule.Effect, revision int64, self tenure.Member) *owner {
+func newOwner(ctx context.Context, l *link, t tenancy, s schedule.State, first []schedule.Effect) *owner {
 	o := &owner{
-		link: l, pool: s.Pool, epoch: s.Epoch, self: self, first: first,
+		link: l, tenancy: t, first: first,
 		messages: ring.New[schedule.Message]("pool.messages", messageCapacity, ring.Refuse, l.host.Metrics),
 		commits:  ring.New[schedule.Commit]("pool.commits", 1, ring.Block, l.host.Metrics),
 		advice:   ring.New[schedule.Advise]("pool.advice", adviceCapacity, ring.Refuse, l.host.Metrics),
-		writer:   writer{store: store, key: tenure.PrefixChain + s.Pool, revision: revision, chain: tenure.Chain{Epoch: s.Epoch, Name: self.Name, Start: self.Start}},
+		writer:   t.writer(),
 		ended:    make(chan struct{}), channels: map[string]*channel{}, replies: map[uint64]*ring.Ring[schedule.Answer]{},
 	}
 	o.context, o.cancel = context.WithCancel(ctx)
@@ -71,8 +67,21 @@
 	return o
 }
 
+// stop implements tenant.
+func (o *owner) stop() <-chan struct{} {
+	o.cancel()
+	return o.ended
+}
+
+// held implements tenant.
+func (o *owner) held() tenancy { return o.tenancy }
+
+// dump implements tenant.
+func (o *owner) dump() any { return o.state.Load().Summary() }
+
 // run decides on messages until the pool is given up.
-func (o *owner) run(ctx context.Context) {
+func (o *owner) run() {
+	ctx := o.context
 	defer close(o.ended)
 	defer o.finish()
 	var duties sync.WaitGroup
@@ -133,7 +142,7 @@
 		case schedule.Superseded:
 			o.link.drop(o, "an executor has seen a newer owner", "executor", e.Executor)
 		case schedule.Note:
-			o.link.log.Log(ctx, e.Level, e.Event, append([]any{"event", e.Event, "pool", o.pool, "epoch", o.epoch}, e.Attrs...)...)
+			o.link.log.Log(ctx, e.Level, e.Event, append([]any{"event", e.Event, "pool", o.duty, "epoch", o.epoch}, e.Attrs...)...)
 		default:
 			panic("pool: effect is not handled")
 		}
@@ -157,7 +166,7 @@
 	if !d.Reported {
 		return
 	}
-	listed, _ := d.Of(o.pool, 0)
+	listed, _ := d.Of(o.duty, 0)
 	same := len(listed) == len(o.informed.executors) && o.informed.executors != nil
 	for _, e := range listed {
 		before, ok := o.informed.executors[e.ID]
@@ -278,3 +287,8 @@
 	})
 	return a.Empty, err
 }
+
+// Load implements port.Jobs.
+func (o *owner) Load(context.Context) (port.Load, error) {
+	return o.state.Load().Load(), nil
+}
--- a/internal/link/pool/takeover.go
+++ b/internal/link/pool/takeover.go
@@ -8,46 +8,65 @@
 	"time"
 
 	"teaselloft/internal/core/clock"
+	"teaselloft/internal/core/kernel"
 	"teaselloft/internal/decision/schedule"
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/port"
 	"teaselloft/internal/model/tenure"
 )
 
-// takeOver writes a new epoch, which ends all writes of the former owner, and reads what it has stored.
-func (l *link) takeOver(call, ctx context.Context, pool string, self tenure.Member, directory port.Directory) (*owner, error) {
-	store, ok := kernelStore(l.host)
+// tenancy is a duty that this process has, under an epoch of its own.
+type tenancy struct {
+	duty     string
+	epoch    uint64
+	revision int64 // of the chain record
+	self     tenure.Member
+	store    port.Store
+}
+
+// takeOver writes a new epoch of a duty, which ends all writes of the former owner.
+func (l *link) takeOver(ctx context.Context, duty string, self tenure.Member) (tenancy, error) {
+	store, ok := kernel.Use[port.Store](l.host)
 	if !ok {
-		return nil, errors.New("no plug-in provides a store")
+		return tenancy{}, errors.New("no plug-in provides a store")
 	}
-	chain, revision, err := readChain(call, store, pool)
+	chain, revision, err := readChain(ctx, store, duty)
 	if err != nil {
-		return nil, err
+		return tenancy{}, err
 	}
 	epoch := chain.Epoch + 1
 	next := tenure.Chain{Epoch: epoch, Name: self.Name, Start: self.Start}
-	record := tenure.Owner{Duty: pool, Name: self.Name, Start: self.Start, Address: self.Address, Epoch: epoch}
-	revision, err = store.Apply(call, port.Change{
-		Conditions: []port.Condition{{Key: tenure.PrefixChain + pool, Revision: revision}},
+	record := tenure.Owner{Duty: duty, Name: self.Name, Start: self.Start, Address: self.Address, Epoch: epoch}
+	revision, err = store.Apply(ctx, port.Change{
+		Conditions: []port.Condition{{Key: tenure.PrefixChain + duty, Revision: revision}},
 		Writes: []port.Write{
-			{Key: tenure.PrefixChain + pool, Value: job.Encode(next)},
-			{Key: tenure.PrefixOwner + pool, Value: job.Encode(record)},
+			{Key: tenure.PrefixChain + duty, Value: job.Encode(next)},
+			{Key: tenure.PrefixOwner + duty, Value: job.Encode(record)},
 		},
 	})
 	if err != nil {
 		// A write whose answer is lost may still take effect; the next attempt then starts from its epoch.
-		return nil, fmt.Errorf("write epoch %d: %w", epoch, err)
+		return tenancy{}, fmt.Errorf("write epoch %d: %w", epoch, err)
+	}
+	return tenancy{duty: duty, epoch: epoch, revision: revision, self: self, store: store}, nil
+}
+
+// takePool takes a pool over and reads what its former owner has stored.
+func (l *link) takePool(call, ctx context.Context, pool string, self tenure.Member, directory port.Directory) (tenant, error) {
+	t, err := l.takeOver(call, pool, self)
+	if err != nil {
+		return nil, err
 	}
-	stored, err := readJobs(call, store, pool)
+	stored, err := readJobs(call, t.store, pool)
 	if err != nil {
 		return nil, err
 	}
 	now := clock.Boot()
 	d := directory.Directory()
-	s := schedule.New(pool, epoch, schedule.DefaultPolicy(l.settings.Lease.Value()), now, time.Now().UnixMilli())
+	s := schedule.New(pool, t.epoch, schedule.DefaultPolicy(l.settings.Lease.Value()), now, time.Now().UnixMilli())
 	listed, gone := d.Of(pool, now)
 	state, effects := schedule.Recover(s, d.Config, stored, append(listed, gone...))
-	return newOwner(ctx, l, store, state, effects, revision, self), nil
+	return newOwner(ctx, l, t, state, effects), nil
 }
 
 func readChain(ctx context.Context, store port.Store, pool string) (tenure.Chain, int64, error) {
--- a/internal/link/pool/writer.go
+++ b/internal/link/pool/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"teaselloft/internal/core/clock"
@@ -32,6 +33,13 @@
 	chain    tenure.Chain
 }
 
+func (t tenancy) writer() writer {
+	return writer{
+		store: t.store, key: tenure.PrefixChain + t.duty, revision: t.revision,
+		chain: tenure.Chain{Epoch: t.epoch, Name: t.self.Name, Start: t.self.Start},
+	}
+}
+
 // write is the duty that stores what the owner decides.
 func (o *owner) write(ctx context.Context) {
 	for {
@@ -40,7 +48,7 @@
 			return
 		}
 		began := clock.Boot()
-		err = o.apply(ctx, c)
+		err = o.writer.apply(ctx, c, o.link.log)
 		o.link.meters.commit.Update((clock.Boot() - began).Milliseconds())
 		switch {
 		case errors.Is(err, errSuperseded):
@@ -49,15 +57,14 @@
 		case ctx.Err() != nil:
 			return
 		case err != nil:
-			o.link.log.Warn("write had no effect", "event", "store.refused", "pool", o.pool, "number", c.Number, "writes", len(c.Writes), "error", err)
+			o.link.log.Warn("write had no effect", "event", "store.refused", "pool", o.duty, "number", c.Number, "writes", len(c.Writes), "error", err)
 		}
 		o.tell(ctx, schedule.Committed{Now: clock.Boot(), Number: c.Number, Err: err})
 	}
 }
 
 // apply returns nil once the write is stored, or an error that wraps port.ErrNotDone if it never will be.
-func (o *owner) apply(ctx context.Context, c schedule.Commit) error {
-	w := &o.writer
+func (w *writer) apply(ctx context.Context, c schedule.Commit, log *slog.Logger) error {
 	next := w.chain
 	next.Number = c.Number
 	change := port.Change{
@@ -85,7 +92,7 @@
 		default:
 			unsure = true
 		}
-		o.link.log.Info("write is tried again", "event", "store.retry", "pool", o.pool, "number", c.Number, "writes", len(c.Writes),
+		log.Info("write is tried again", "event", "store.retry", "key", w.key, "number", c.Number, "writes", len(c.Writes),
 			"timeout", timeout, "unsure", unsure, "error", err)
 		select {
 		case <-ctx.Done():
--- a/internal/model/job/record.go
+++ b/internal/model/job/record.go
@@ -35,11 +35,10 @@
 	Failures   []Failure `cbor:"failures,omitempty"`
 }
 
-// Failure counts the failed runs of a task; Run is the last of them, so that a repeated report is recognized.
+// Failure lists the failed runs of a task, so that a repeated report is recognized whatever the order of the reports.
 type Failure struct {
-	Index int    `cbor:"index"`
-	Count int    `cbor:"count"`
-	Run   uint64 `cbor:"run"`
+	Index int      `cbor:"index"`
+	Runs  []uint64 `cbor:"runs"`
 }
 
 // Encode returns the bytes of a record.
--- a/internal/model/port/own.go
+++ b/internal/model/port/own.go
@@ -42,6 +42,20 @@
 	Pending(ctx context.Context, queue string) (int, error)
 	// Vacate asks to empty executors and returns those on which nothing runs or will be started for that time.
 	Vacate(ctx context.Context, executors []string, length time.Duration) ([]string, error)
+	Load(ctx context.Context) (Load, error)
+}
+
+// Load is what a pool's owner says of its executors.
+type Load struct {
+	Backlog   int64                   `cbor:"backlog"` // thousandths of a core that ready tasks without room ask for
+	Executors map[string]ExecutorLoad `cbor:"executors"`
+}
+
+// ExecutorLoad is what runs on an executor.
+type ExecutorLoad struct {
+	CPU     int64 `cbor:"cpu"` // thousandths of a core
+	Runs    int   `cbor:"runs"`
+	Lasting int   `cbor:"lasting"` // runs that last
 }
 
 // Owners finds the pools that this process owns.
