--- a/internal/decision/schedule/job.go
+++ b/internal/decision/schedule/job.go
@@ -203,3 +203,20 @@
 	}
 	return j
 }
+
+// latest returns when a work must start for the job to meet its objective.
+func (j jobState) latest(w work) time.Duration {
+	return max(j.objective, w.due) - j.tails[w.step]
+}
+
+// remaining returns the core-seconds that are estimated for what has not ended of an occurrence.
+func (j jobState) remaining(occurrence int) float64 {
+	sum := 0.0
+	for _, w := range j.works {
+		if w.occurrence == occurrence {
+			step := j.sub.Steps[w.step]
+			sum += float64(len(w.tasks)-w.done) * float64(step.Need.CPU) / 1000 * step.Estimate.Seconds()
+		}
+	}
+	return sum
+}
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -42,7 +42,7 @@
 	}
 	for i := t.s.ready.Iterator(); !i.Done(); {
 		r, p, _ := i.Next()
-		if r.class == classInTime && t.s.now > r.start {
+		if r.class == classInTime && t.s.late(p) {
 			t.s = t.s.withRank(p.job, p.work) // it comes again, as late
 			t.s.mustPump = true
 			continue
@@ -51,6 +51,12 @@
 	}
 }
 
+// late reports whether a work can no longer end in time.
+func (s State) late(p place) bool {
+	j, ok := s.jobs.Get(p.job)
+	return ok && s.now > j.latest(j.works[p.work])
+}
+
 func (t *turn) placeWork(hosts []*host, p place) {
 	j, ok := t.s.jobs.Get(p.job)
 	if !ok {
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -57,13 +57,13 @@
 	work int
 }
 
-// rank orders the ready works.
+// rank orders the ready works. Under overload, finishing the jobs with the least remaining work first keeps the most of them in time.
 type rank struct {
-	class    int
-	priority int
-	start    time.Duration // the latest start that still meets the objective
-	id       job.ID
-	work     int
+	class     int
+	priority  int
+	remaining int64 // core-milliseconds that are left of the job; the time of its request for a lasting one
+	id        job.ID
+	work      int
 }
 
 type ranks struct{}
@@ -71,7 +71,7 @@
 // Compare implements immutable.Comparer.
 func (ranks) Compare(a, b rank) int {
 	return cmp.Or(
-		cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority), cmp.Compare(a.start, b.start),
+		cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority), cmp.Compare(a.remaining, b.remaining),
 		strings.Compare(string(a.id), string(b.id)), cmp.Compare(a.work, b.work))
 }
 
@@ -153,14 +153,14 @@
 func (s State) rankOf(j jobState, index int) *rank {
 	w := j.works[index]
 	r := rank{class: classInTime, priority: j.queue.Priority, id: j.sub.ID, work: index}
-	if j.sub.Steps[w.step].Lasting {
-		r.class, r.start = classLasting, w.due
+	switch {
+	case j.sub.Steps[w.step].Lasting:
+		r.class, r.remaining = classLasting, w.due.Milliseconds()
 		return &r
-	}
-	r.start = max(j.objective, w.due) - j.tails[w.step]
-	if s.now > r.start {
+	case s.now > j.latest(w):
 		r.class = classLate
 	}
+	r.remaining = int64(j.remaining(w.occurrence) * 1000)
 	return &r
 }
 
--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -64,7 +64,7 @@
 func (s State) Load() port.Load {
 	load := port.Load{Executors: map[string]port.ExecutorLoad{}}
 	s.each(func(e executorState) {
-		x := port.ExecutorLoad{CPU: e.used().CPU, Runs: len(e.runs)}
+		x := port.ExecutorLoad{CPU: e.used().CPU, Runs: len(e.runs), Usable: e.usable(s.now)}
 		for _, r := range e.runs {
 			if r.serves || r.filler {
 				x.Lasting++
@@ -73,10 +73,17 @@
 		load.Executors[e.info.ID] = x
 	})
 	for i := s.ready.Iterator(); !i.Done(); {
-		_, p, _ := i.Next()
-		if j, ok := s.jobs.Get(p.job); ok {
-			w := j.works[p.work]
-			load.Backlog += int64(w.waiting) * j.sub.Steps[w.step].Demand().CPU
+		r, p, _ := i.Next()
+		j, ok := s.jobs.Get(p.job)
+		if !ok {
+			continue
+		}
+		w := j.works[p.work]
+		cpu := int64(w.waiting) * j.sub.Steps[w.step].Demand().CPU
+		if r.class == classLate {
+			load.Late += cpu
+		} else {
+			load.Backlog += cpu
 		}
 	}
 	return load
--- a/internal/decision/upkeep/message.go
+++ b/internal/decision/upkeep/message.go
@@ -61,6 +61,12 @@
 	Wave     int64
 }
 
+// Move orders an instance into another pool.
+type Move struct {
+	Instance string
+	Pool     string
+}
+
 // Report tells the operators how a wave stands and stores which instances have had their upkeep.
 type Report struct {
 	Wave      int64
@@ -80,6 +86,7 @@
 
 func (Vacate) effect()     {}
 func (Maintain) effect()   {}
+func (Move) effect()       {}
 func (Report) effect()     {}
 func (Superseded) effect() {}
 func (Note) effect()       {}
--- a/internal/decision/upkeep/state.go
+++ b/internal/decision/upkeep/state.go
@@ -1,6 +1,7 @@
 package upkeep
 
 import (
+	"fmt"
 	"maps"
 	"time"
 
@@ -16,9 +17,35 @@
 	away           // its upkeep runs
 )
 
-// visit is the upkeep of one instance. It is immutable.
+// purpose is why an instance is emptied.
+//
+//sumtype:decl
+type purpose interface{ purpose() }
+
+// maintenance is the upkeep for a wave.
+type maintenance struct{ wave int64 }
+
+// transfer is the move into another pool.
+type transfer struct{ pool string }
+
+func (maintenance) purpose() {}
+func (transfer) purpose()    {}
+
+// effect returns the order that serves a purpose.
+func effectOf(p purpose, instance string) Effect {
+	switch p := p.(type) {
+	case maintenance:
+		return Maintain{Instance: instance, Wave: p.wave}
+	case transfer:
+		return Move{Instance: instance, Pool: p.pool}
+	default:
+		panic(fmt.Sprintf("upkeep: purpose %T is not handled", p))
+	}
+}
+
+// visit is what is done with one instance. It is immutable.
 type visit struct {
-	wave     int64
+	purpose  purpose
 	stage    stage
 	since    time.Duration
 	executor string // its life before the upkeep
@@ -36,14 +63,16 @@
 	most      map[int64]int // instances of a wave that may be down at once
 	waves     map[int64][]string
 	began     time.Duration
-	reported  map[int64]int // instances done at the last report, -1 once completion was reported
+	pools     map[string]demand
+	arrived   map[string]time.Duration // since when executors are listed
+	reported  map[int64]int            // instances done at the last report, -1 once completion was reported
 }
 
 // New returns the state of a new owner, which knows the instances that had their upkeep before, by wave.
 func New(done map[int64][]string) State {
 	s := State{
 		instances: map[string]site.Instance{}, missing: map[string]time.Duration{}, visits: map[string]visit{},
-		done: map[int64]map[string]bool{}, completed: map[int64]bool{}, most: map[int64]int{}, waves: map[int64][]string{}, reported: map[int64]int{},
+		done: map[int64]map[string]bool{}, completed: map[int64]bool{}, most: map[int64]int{}, waves: map[int64][]string{}, pools: map[string]demand{}, arrived: map[string]time.Duration{}, reported: map[int64]int{},
 	}
 	for wave, names := range done {
 		s.done[wave] = map[string]bool{}
@@ -93,28 +122,18 @@
 	return s
 }
 
-// Busy reports whether a wave is open or an instance is on its way.
-func (s State) Busy() bool {
-	for wave := range s.most {
-		if !s.completed[wave] {
-			return true
-		}
-	}
-	return len(s.visits) > 0
-}
-
 // Summary is what the state dump shows.
 type Summary struct {
-	Instances int              `json:"instances"`
-	Visits    map[string]int64 `json:"visits"` // instance to wave
-	Done      map[int64]int    `json:"done"`   // instances by wave
+	Instances int               `json:"instances"`
+	Visits    map[string]string `json:"visits"` // instance to purpose
+	Done      map[int64]int     `json:"done"`   // instances by wave
 }
 
 // Summary returns what the state dump shows.
 func (s State) Summary() Summary {
-	out := Summary{Instances: len(s.instances), Visits: map[string]int64{}, Done: map[int64]int{}}
+	out := Summary{Instances: len(s.instances), Visits: map[string]string{}, Done: map[int64]int{}}
 	for name, v := range s.visits {
-		out.Visits[name] = v.wave
+		out.Visits[name] = fmt.Sprintf("%+v", v.purpose)
 	}
 	for wave, names := range s.done {
 		out.Done[wave] = len(names)
--- a/internal/decision/upkeep/step.go
+++ b/internal/decision/upkeep/step.go
@@ -57,6 +57,8 @@
 		s, effects = s.advance(w, m)
 		out = append(out, effects...)
 	}
+	s, effects := s.balance(m)
+	out = append(out, effects...)
 	return s, append(out, s.vacate(m.Directory)...)
 }
 
@@ -66,7 +68,14 @@
 	for _, i := range instances {
 		s.instances[i.Name] = i
 	}
-	s.listed = s.now
+	arrived := make(map[string]time.Duration, len(instances))
+	for _, i := range instances {
+		arrived[i.Executor] = s.now
+		if before, ok := s.arrived[i.Executor]; ok {
+			arrived[i.Executor] = before
+		}
+	}
+	s.arrived, s.listed = arrived, s.now
 	for name, v := range s.visits {
 		i, ok := s.instances[name]
 		back := ok && i.State == site.InstanceUp && (i.Executor != v.executor || i.Executor == "")
@@ -111,7 +120,7 @@
 			continue
 		}
 		i := s.instances[name]
-		s = s.withVisit(name, visit{wave: w.Number, stage: vacating, since: s.now, executor: i.Executor})
+		s = s.withVisit(name, visit{purpose: maintenance{wave: w.Number}, stage: vacating, since: s.now, executor: i.Executor})
 		out = append(out, Note{Level: slog.LevelInfo, Event: "upkeep.planned", Attrs: []any{"instance", name, "wave", w.Number, "pool", i.Pool, "left", len(open)}})
 		room--
 	}
@@ -152,7 +161,7 @@
 func (s State) visiting(wave int64) int {
 	n := 0
 	for _, v := range s.visits {
-		if v.wave == wave && (v.stage != vacating || s.now-v.since < tooLong) {
+		if v.purpose == (maintenance{wave: wave}) && (v.stage != vacating || s.now-v.since < tooLong) {
 			n++
 		}
 	}
@@ -231,41 +240,57 @@
 		if !ok || v.stage != vacating || !slices.Contains(m.Executors, key) || s.now >= m.Until {
 			continue
 		}
-		if s.down(v.wave) >= s.most[v.wave] || s.now-s.began < settle {
+		if s.now-s.began < settle || !s.allowed(v.purpose) {
 			continue
 		}
 		v.stage, v.since, v.executor = ordered, s.now, i.Executor
 		s = s.withVisit(name, v)
-		out = append(out, Maintain{Instance: name, Wave: v.wave},
-			Note{Level: slog.LevelInfo, Event: "upkeep.ordered", Attrs: []any{"instance", name, "wave", v.wave, "executor", i.Executor}})
+		out = append(out, effectOf(v.purpose, name), Note{Level: slog.LevelInfo, Event: "instance.ordered", Attrs: []any{
+			"instance", name, "purpose", fmt.Sprintf("%+v", v.purpose), "from", i.Pool, "executor", i.Executor,
+		}})
 	}
 	return s, out
 }
 
+// allowed reports whether the order for a purpose may be given now.
+func (s State) allowed(p purpose) bool {
+	switch p := p.(type) {
+	case maintenance:
+		return s.down(p.wave) < s.most[p.wave]
+	case transfer:
+		return true
+	default:
+		panic(fmt.Sprintf("upkeep: purpose %T is not handled", p))
+	}
+}
+
 // answered takes note of the outcome of an order; one that is not known is repeated, which has no further effect.
 func answered(s State, m Ordered) (State, []Effect) {
 	v, ok := s.visits[m.Instance]
 	if !ok || v.stage != ordered {
 		return s, nil
 	}
-	attrs := []any{"instance", m.Instance, "wave", v.wave, "error", m.Err}
+	attrs := []any{"instance", m.Instance, "purpose", fmt.Sprintf("%+v", v.purpose), "after", m.Now - v.since, "error", m.Err}
+	wave, isWave := v.purpose.(maintenance)
 	switch {
 	case m.Err == nil:
 		v.stage, v.since = away, m.Now
-		s = s.withVisit(m.Instance, v).withDone(v.wave, m.Instance)
-		return s, []Effect{Note{Level: slog.LevelInfo, Event: "upkeep.begun", Attrs: attrs}}
+		s = s.withVisit(m.Instance, v)
+		if isWave {
+			s = s.withDone(wave.wave, m.Instance)
+		}
+		return s, []Effect{Note{Level: slog.LevelInfo, Event: "instance.away", Attrs: attrs}}
 	case errors.Is(m.Err, port.ErrFenced):
 		return s, []Effect{Superseded{Instance: m.Instance}}
 	case errors.Is(m.Err, port.ErrNoInstance), errors.Is(m.Err, port.ErrWave):
-		s = s.withoutVisit(m.Instance).withDone(v.wave, m.Instance)
-		return s, []Effect{Note{Level: slog.LevelWarn, Event: "upkeep.rejected", Attrs: attrs}}
-	case errors.Is(m.Err, port.ErrInstanceBusy), errors.Is(m.Err, port.ErrNotDone):
 		s = s.withoutVisit(m.Instance)
-		return s, []Effect{Note{Level: slog.LevelInfo, Event: "upkeep.refused", Attrs: attrs}}
-	default:
-		return s, []Effect{
-			Note{Level: slog.LevelWarn, Event: "upkeep.unsure", Attrs: attrs},
-			Maintain{Instance: m.Instance, Wave: v.wave},
+		if isWave {
+			s = s.withDone(wave.wave, m.Instance)
 		}
+		return s, []Effect{Note{Level: slog.LevelWarn, Event: "instance.rejected", Attrs: attrs}}
+	case errors.Is(m.Err, port.ErrInstanceBusy), errors.Is(m.Err, port.ErrNotDone):
+		return s.withoutVisit(m.Instance), []Effect{Note{Level: slog.LevelInfo, Event: "instance.refused", Attrs: attrs}}
+	default:
+		return s, []Effect{Note{Level: slog.LevelWarn, Event: "instance.unsure", Attrs: attrs}, effectOf(v.purpose, m.Instance)}
 	}
 }
--- a/internal/link/pool/fleet.go
+++ b/internal/link/pool/fleet.go
@@ -21,8 +21,7 @@
 
 // Times of the fleet's duty.
 const (
-	fleetEvery   = 250 * time.Millisecond // between two looks while a wave is open
-	fleetIdle    = 1 * time.Second        // between two looks otherwise
+	fleetEvery   = 250 * time.Millisecond // between two looks at the loads of the pools
 	listTimeout  = 900 * time.Millisecond
 	loadTimeout  = 200 * time.Millisecond
 	vacateFor    = 1200 * time.Millisecond // that a pool's owner keeps executors empty after each call
@@ -118,11 +117,7 @@
 			}
 			f.step(ctx, upkeep.Tick{Now: clock.Boot(), Directory: d, Instances: instances, Loads: f.loads(ctx, d)})
 		}
-		if f.state.Load().Busy() {
-			pause.Reset(fleetEvery)
-		} else {
-			pause.Reset(fleetIdle)
-		}
+		pause.Reset(fleetEvery)
 	}
 }
 
@@ -145,12 +140,9 @@
 	return peers.Remote(o), true
 }
 
-// loads asks the owners of the pools while a wave needs it.
+// loads asks the owners of the pools.
 func (f *fleet) loads(ctx context.Context, d tenure.Directory) map[string]port.Load {
 	loads := map[string]port.Load{}
-	if !f.state.Load().Busy() {
-		return loads
-	}
 	for _, p := range d.Config.Pools {
 		j, ok := f.jobs(p.Name, d)
 		if p.Standby || !ok {
@@ -176,7 +168,9 @@
 		case upkeep.Vacate:
 			f.vacate(ctx, e)
 		case upkeep.Maintain:
-			f.order(ctx, e)
+			f.order(ctx, e.Instance, func(ctx context.Context, o port.Order) error { return f.instances.Maintain(ctx, o, e.Wave) })
+		case upkeep.Move:
+			f.order(ctx, e.Instance, func(ctx context.Context, o port.Order) error { return f.instances.Move(ctx, o, e.Pool) })
 		case upkeep.Report:
 			f.report(ctx, e)
 		case upkeep.Superseded:
@@ -211,12 +205,12 @@
 }
 
 // order sends an order beside the duty, which goes on meanwhile.
-func (f *fleet) order(ctx context.Context, e upkeep.Maintain) {
+func (f *fleet) order(ctx context.Context, instance string, send func(context.Context, port.Order) error) {
 	go func() {
 		call, cancel := context.WithTimeout(ctx, instanceWait)
 		defer cancel()
-		err := f.instances.Maintain(call, port.Order{Instance: e.Instance, Holder: f.self.Name, Fence: f.epoch}, e.Wave)
-		_ = f.outcomes.PushWait(ctx, upkeep.Ordered{Now: clock.Boot(), Instance: e.Instance, Err: err}) // fails only when the duty is given up
+		err := send(call, port.Order{Instance: instance, Holder: f.self.Name, Fence: f.epoch})
+		_ = f.outcomes.PushWait(ctx, upkeep.Ordered{Now: clock.Boot(), Instance: instance, Err: err}) // fails only when the duty is given up
 	}()
 }
 
--- a/internal/model/port/own.go
+++ b/internal/model/port/own.go
@@ -47,7 +47,8 @@
 
 // Load is what a pool's owner says of its executors.
 type Load struct {
-	Backlog   int64                   `cbor:"backlog"` // thousandths of a core that ready tasks without room ask for
+	Backlog   int64                   `cbor:"backlog"` // thousandths of a core that ready tasks ask for which can still end in time
+	Late      int64                   `cbor:"late"`    // the same of those that cannot
 	Executors map[string]ExecutorLoad `cbor:"executors"`
 }
 
@@ -56,6 +57,7 @@
 	CPU     int64 `cbor:"cpu"` // thousandths of a core
 	Runs    int   `cbor:"runs"`
 	Lasting int   `cbor:"lasting"` // runs that last
+	Usable  bool  `cbor:"usable"`  // tasks may be started on it
 }
 
 // Owners finds the pools that this process owns.
