--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -11,11 +11,11 @@
 
 // commit stores what has changed, unless a write is on its way.
 func (t *turn) commit() {
-	if t.s.flight != nil || t.s.changed.Len() == 0 || t.s.now < t.s.lastWrite+t.s.policy.CommitGap {
+	if t.s.flight != nil || t.s.now < t.s.lastWrite+t.s.policy.CommitGap || t.s.changed.Len() == 0 && !t.s.unconfirmed() {
 		return
 	}
 	t.s.commits++
-	f := flight{number: t.s.commits}
+	f := flight{number: t.s.commits, sent: t.s.now}
 	c := Commit{Number: f.number}
 	for i := t.s.changed.Iterator(); !i.Done(); {
 		gen, id, _ := i.Next()
@@ -34,13 +34,17 @@
 		j.dirty, j.waiters = 0, nil
 		t.s = t.s.withJob(j)
 	}
-	if len(f.jobs) == 0 {
-		return
-	}
 	t.s.flight = &f
 	t.emit(c)
 }
 
+// unconfirmed reports whether an executor waits for a confirmation of the ownership, for which a write without records serves.
+func (s State) unconfirmed() bool {
+	waits := false
+	s.each(func(e executorState) { waits = waits || e.open && e.opened >= s.confirmed })
+	return waits
+}
+
 // records returns what has to be written of a job.
 func (s State) records(j jobState) (writes []port.Write, removes []string) {
 	id := string(j.sub.ID)
@@ -78,6 +82,7 @@
 		}
 		return
 	}
+	t.s.confirmed = f.sent
 	for _, x := range f.jobs {
 		t.stored(x)
 	}
--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -34,6 +34,7 @@
 	listed   bool // the store lists it
 	born     int64
 	open     bool          // it has answered a hold under this owner's fence
+	opened   time.Duration // when it did so first
 	failing  time.Duration // since when holds fail; 0 when the last one was answered
 	clock    int64         // ms, its clock
 	clockAt  time.Duration // when the clock was read
@@ -100,9 +101,12 @@
 	return now >= e.clockAt+left+proofMargin
 }
 
-// usable reports whether tasks may be started on it.
-func (e executorState) usable(now time.Duration) bool {
-	if !e.open || !e.listed || e.info.Draining || e.failing != 0 || now < e.vacate || now < e.barred {
+// usable reports whether tasks may be started on it by an owner that was last confirmed at a time.
+//
+// A life that began after a takeover has not seen the fence of the next owner, so
+// that only a confirmation after its first answer shows that no other owner uses it.
+func (e executorState) usable(now, confirmed time.Duration) bool {
+	if !e.open || confirmed <= e.opened || !e.listed || e.info.Draining || e.failing != 0 || now < e.vacate || now < e.barred {
 		return false
 	}
 	return !slices.ContainsFunc(e.runs, func(r runState) bool { return r.stray })
--- a/internal/decision/schedule/held.go
+++ b/internal/decision/schedule/held.go
@@ -68,7 +68,10 @@
 
 // hold asks an executor for its runs and extends their lease.
 func (t *turn) hold(e executorState, wait, after time.Duration, reset bool) {
-	h := port.Hold{Fence: t.s.Epoch, Ack: e.ack, Wait: wait}
+	h := port.Hold{Fence: t.s.Epoch, Wait: wait}
+	if e.failing == 0 && e.open {
+		h.Ack = e.ack // an executor that was silent may have begun a new life, whose ends have the same numbers
+	}
 	if e.clockAt != 0 && e.failing == 0 {
 		h.Expires = e.at(t.s.now+after) + t.s.policy.Lease.Milliseconds()
 		e.expires = max(e.expires, h.Expires)
@@ -119,7 +122,7 @@
 	}
 	e.failing, e.clock, e.clockAt = 0, h.Clock, m.Now
 	if !e.open {
-		e.open = true
+		e.open, e.opened = true, m.Now
 		t.emit(note(slog.LevelInfo, "executor.open", "executor", e.info.ID, "active", len(h.Runs), "ends", len(h.Ends)))
 	}
 	t.s = t.s.withExecutor(e)
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -20,7 +20,7 @@
 func (s State) hosts() []*host {
 	var all []*host
 	s.each(func(e executorState) {
-		if e.usable(s.now) {
+		if e.usable(s.now, s.confirmed) {
 			all = append(all, &host{e: e, free: e.info.Capacity.Minus(e.used())})
 		}
 	})
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -30,6 +30,7 @@
 	commits   uint64
 	flight    *flight
 	lastWrite time.Duration
+	confirmed time.Duration   // when the last write that succeeded was sent: this was the owner then
 	unsettled map[string]bool // executors of the former owner that have not answered yet
 	settleBy  time.Duration   // when their leases must have lapsed
 	swept     time.Duration
@@ -39,8 +40,8 @@
 // flight is a commit that is not answered yet.
 type flight struct {
 	number uint64
+	sent   time.Duration
 	jobs   []flightJob
-	gen    uint64 // generations up to it were taken, with those of jobs
 }
 
 type flightJob struct {
--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -64,7 +64,7 @@
 func (s State) Load() port.Load {
 	load := port.Load{Executors: map[string]port.ExecutorLoad{}}
 	s.each(func(e executorState) {
-		x := port.ExecutorLoad{CPU: e.used().CPU, Runs: len(e.runs), Usable: e.usable(s.now)}
+		x := port.ExecutorLoad{CPU: e.used().CPU, Runs: len(e.runs), Usable: e.usable(s.now, s.confirmed)}
 		for _, r := range e.runs {
 			if r.serves || r.filler {
 				x.Lasting++
--- a/internal/link/pool/takeover.go
+++ b/internal/link/pool/takeover.go
@@ -12,6 +12,7 @@
 	"teaselloft/internal/decision/schedule"
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/port"
+	"teaselloft/internal/model/site"
 	"teaselloft/internal/model/tenure"
 )
 
@@ -61,14 +62,38 @@
 	if err != nil {
 		return nil, err
 	}
+	executors, err := l.listed(call, t.store, pool)
+	if err != nil {
+		return nil, err
+	}
 	now := clock.Boot()
 	d := directory.Directory()
 	s := schedule.New(pool, t.epoch, schedule.DefaultPolicy(l.settings.Lease.Value()), now, time.Now().UnixMilli())
-	listed, gone := d.Of(pool, now)
-	state, effects := schedule.Recover(s, d.Config, stored, append(listed, gone...))
+	_, gone := d.Of(pool, now)
+	state, effects := schedule.Recover(s, d.Config, stored, append(executors, gone...))
 	return newOwner(ctx, l, t, state, effects), nil
 }
 
+// listed reads the executors of a pool; the directory may lack one on which the former owner has just started tasks.
+func (l *link) listed(ctx context.Context, store port.Store, pool string) ([]site.Executor, error) {
+	announcements, ok := kernel.Use[port.Announcements](l.host)
+	if !ok {
+		return nil, errors.New("no plug-in decodes the platform's announcements")
+	}
+	items, _, err := store.List(ctx, announcements.Executors())
+	if err != nil {
+		return nil, fmt.Errorf("read executors: %w", err)
+	}
+	var executors []site.Executor
+	for _, i := range items {
+		// An entry that cannot be read names no executor; the directory logs it.
+		if e, err := announcements.Executor(i); err == nil && e.Pool == pool {
+			executors = append(executors, e)
+		}
+	}
+	return executors, nil
+}
+
 func readChain(ctx context.Context, store port.Store, pool string) (tenure.Chain, int64, error) {
 	item, err := store.Get(ctx, tenure.PrefixChain+pool)
 	if errors.Is(err, port.ErrNotFound) {
