--- a/internal/decision/claim/claim.go
+++ b/internal/decision/claim/claim.go
@@ -14,7 +14,7 @@
 // Times of a takeover.
 const (
 	// Settle is how long a daemon that has just started waits for others to appear.
-	Settle = time.Second
+	Settle = 400 * time.Millisecond
 	// Return is how long after an outage of the store members that lapsed meanwhile may take to register again.
 	Return = 1500 * time.Millisecond
 	// Turn is how much later the next candidate claims a duty that the one before has not.
--- a/internal/decision/schedule/job.go
+++ b/internal/decision/schedule/job.go
@@ -69,7 +69,6 @@
 	state     job.State       // as callers see it, stored when final
 	outcome   job.State       // final state that is decided but not stored yet
 	stored    bool
-	cancelled bool // a cancellation is decided
 	begun     bool
 	recovered bool // read from the store at a takeover: its tasks may run on executors that have not answered yet
 	works     []work
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -13,7 +13,6 @@
 type host struct {
 	e    executorState
 	free job.Resources
-	room job.Resources // free of everything but what fillers take
 }
 
 // hosts returns the executors on which tasks may be started.
@@ -27,9 +26,6 @@
 	return all
 }
 
-// smallestNeed is the CPU below which an executor counts as full; smaller tasks are rare and wait for an end.
-const smallestNeed = 50
-
 // place starts ready tasks in order of rank where there is room.
 func (t *turn) place() {
 	if !t.s.mustPump {
--- a/internal/link/pool/fleet.go
+++ b/internal/link/pool/fleet.go
@@ -176,7 +176,7 @@
 		case upkeep.Superseded:
 			f.link.drop(f, "an instance has seen a newer owner", "instance", e.Instance)
 		case upkeep.Note:
-			f.link.log.Log(ctx, e.Level, e.Event, append([]any{"event", e.Event, "epoch", f.epoch}, e.Attrs...)...)
+			f.link.log.Log(ctx, e.Level, "fleet", append([]any{"event", e.Event, "epoch", f.epoch}, e.Attrs...)...)
 		default:
 			panic("pool: effect of the fleet is not handled")
 		}
--- a/internal/link/pool/owner.go
+++ b/internal/link/pool/owner.go
@@ -142,7 +142,7 @@
 		case schedule.Superseded:
 			o.link.drop(o, "an executor has seen a newer owner", "executor", e.Executor)
 		case schedule.Note:
-			o.link.log.Log(ctx, e.Level, e.Event, append([]any{"event", e.Event, "pool", o.duty, "epoch", o.epoch}, e.Attrs...)...)
+			o.link.log.Log(ctx, e.Level, "schedule", append([]any{"event", e.Event, "pool", o.duty, "epoch", o.epoch}, e.Attrs...)...)
 		default:
 			panic("pool: effect is not handled")
 		}
--- a/internal/model/job/submission.go
+++ b/internal/model/job/submission.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,7 +31,7 @@
 		return false
 	}
 	for _, r := range i {
-		if !(r >= '0' && r <= '9' || r >= 'a' && r <= 'f' || r >= 'A' && r <= 'F') {
+		if !strings.ContainsRune("0123456789abcdefABCDEF", r) {
 			return false
 		}
 	}
