--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 ENTRIES ?= 3
 SEED ?= 1
 
-.PHONY: build format lint test run demo bench failures
+.PHONY: build format lint test run jobs demo bench failures
 
 build:
 	go build -o bin/ ./cmd/...
@@ -20,6 +20,9 @@
 run: build
 	ENTRIES=$(ENTRIES) scripts/run.sh
 
+jobs: build
+	scripts/jobs.sh
+
 demo: build
 	scripts/demo.sh
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -9,6 +9,7 @@
 	_ "teaselloft/internal/command/process"
 	_ "teaselloft/internal/standin/endpoint"
 	_ "teaselloft/internal/standin/platform"
+	_ "teaselloft/internal/standin/site"
 )
 
 func main() {
--- a/internal/decision/schedule/held.go
+++ b/internal/decision/schedule/held.go
@@ -224,9 +224,8 @@
 
 // finished marks a task as done and opens what waited for it.
 func (t *turn) finished(task job.Task) {
-	j, x, _ := t.task(task)
-	other := x.executor
-	run := x.run
+	_, x, _ := t.task(task)
+	other, run := x.executor, x.run
 	t.withTask(task, func(x taskState) taskState {
 		return taskState{phase: done, run: x.run, failed: x.failed}
 	})
@@ -237,7 +236,7 @@
 			}
 		}
 	}
-	j, _ = t.s.jobs.Get(task.Job)
+	j, _ := t.s.jobs.Get(task.Job)
 	i, _ := j.find(task)
 	if j.works[i].done == len(j.works[i].tasks) {
 		if j.complete() && !j.outcome.Final() {
--- /dev/null
+++ b/internal/standin/site/store.go
@@ -0,0 +1,331 @@
+package site
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Store is a key-value store with conditional changes, leases and watches.
+type Store struct {
+	mutex    sync.Mutex
+	revision int64
+	items    map[string]item
+	history  []item
+	dropped  int64 // revision up to which history was dropped
+	leases   map[int64]*lease
+	changed  chan struct{}
+	refuse   bool
+	lose     int // answers to changes that will be lost
+	writes   int
+}
+
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created"`
+	Lease    int64  `json:"lease"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{})}
+}
+
+// Put writes an item as the operators and the executors do.
+func (s *Store) Put(key string, value []byte) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.set(key, value, 0)
+	s.wake()
+}
+
+// Remove removes an item.
+func (s *Store) Remove(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.unset(key)
+	s.wake()
+}
+
+// Get returns the value of an item.
+func (s *Store) Get(key string) ([]byte, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	i, ok := s.items[key]
+	return i.Value, ok
+}
+
+// Refuse makes the store refuse every call, or serve again.
+func (s *Store) Refuse(refuse bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.refuse = refuse
+}
+
+// LoseAnswers makes the store carry out the next n changes without an answer.
+func (s *Store) LoseAnswers(n int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lose = n
+}
+
+// DropHistory makes the watches that go on from an earlier revision start anew.
+func (s *Store) DropHistory() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history, s.dropped = nil, s.revision
+	s.wake()
+}
+
+// Writes returns how many changes were made by calls.
+func (s *Store) Writes() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.writes
+}
+
+func (s *Store) set(key string, value []byte, id int64) {
+	i := item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: id}
+	if before, ok := s.items[key]; ok {
+		i.Created = before.Created
+	}
+	s.items[key] = i
+	s.history = append(s.history, i)
+}
+
+func (s *Store) unset(key string) {
+	if _, ok := s.items[key]; ok {
+		delete(s.items, key)
+		s.history = append(s.history, item{Key: key, Revision: s.revision, Deleted: true})
+	}
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Handler serves the store's calls.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv-key", s.key)
+	mux.HandleFunc("GET /kv-range", s.list)
+	mux.HandleFunc("GET /kv-watch", s.watch)
+	mux.HandleFunc("POST /kv-txn", s.change)
+	mux.HandleFunc("POST /kv-lease", s.grant)
+	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
+	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mutex.Lock()
+		refuse := s.refuse
+		s.mutex.Unlock()
+		if refuse {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // a caller that has gone needs no answer
+}
+
+func (s *Store) key(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	i, ok := s.items[r.URL.Query().Get("key")]
+	s.mutex.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, i)
+}
+
+// page is the number of items in an answer; small, so that callers are seen to read on.
+const page = 50
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	s.mutex.Lock()
+	var found []item
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, i)
+		}
+	}
+	at := s.revision
+	s.mutex.Unlock()
+	slices.SortFunc(found, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	more := len(found) > page
+	reply(w, http.StatusOK, map[string]any{"items": found[:min(len(found), page)], "has-more": more, "at": at})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("wait-ms"), 10, 64)
+	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer limit.Stop()
+	for {
+		s.mutex.Lock()
+		gone := after < s.dropped
+		var events []item
+		for _, i := range s.history {
+			if i.Revision > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
+				events = append(events, i)
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mutex.Unlock()
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			reply(w, http.StatusOK, map[string]any{"events": []item{}, "at": at})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+type change struct {
+	Expected []item   `json:"expected-revision"`
+	Write    []item   `json:"write"`
+	Remove   []string `json:"remove"`
+}
+
+const maxEntries = 32
+
+func (s *Store) change(w http.ResponseWriter, r *http.Request) {
+	var c change
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil || len(c.Expected)+len(c.Write)+len(c.Remove) > maxEntries {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mutex.Lock()
+	status, answer := s.apply(c)
+	lost := s.lose > 0 && status == http.StatusOK
+	if lost {
+		s.lose--
+	}
+	s.mutex.Unlock()
+	if lost {
+		<-r.Context().Done()
+		return
+	}
+	reply(w, status, answer)
+}
+
+func (s *Store) apply(c change) (int, any) {
+	current := []item{}
+	holds := true
+	for _, e := range c.Expected {
+		i, ok := s.items[e.Key]
+		holds = holds && i.Revision == e.Revision
+		if ok {
+			current = append(current, i)
+		}
+	}
+	if !holds {
+		return http.StatusPreconditionFailed, map[string]any{"items": current}
+	}
+	for _, x := range c.Write {
+		if _, ok := s.leases[x.Lease]; x.Lease != 0 && !ok {
+			return http.StatusNotFound, nil
+		}
+	}
+	s.revision++
+	s.writes++
+	for _, x := range c.Write {
+		s.set(x.Key, x.Value, x.Lease)
+	}
+	for _, key := range c.Remove {
+		s.unset(key)
+	}
+	s.wake()
+	return http.StatusOK, map[string]any{"revision": s.revision}
+}
+
+type leaseBody struct {
+	Lease int64 `json:"lease"`
+	TTL   int64 `json:"ttl-ms"`
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var b leaseBody
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil || b.TTL <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mutex.Lock()
+	s.revision++
+	b.Lease = s.revision
+	ttl := time.Duration(b.TTL) * time.Millisecond
+	s.leases[b.Lease] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.lapse(b.Lease) })}
+	s.mutex.Unlock()
+	reply(w, http.StatusOK, b)
+}
+
+func (s *Store) lapse(id int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return
+	}
+	l.timer.Stop()
+	delete(s.leases, id)
+	s.revision++
+	for key, i := range s.items {
+		if i.Lease == id {
+			s.unset(key)
+		}
+	}
+	s.wake()
+}
+
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.mutex.Lock()
+	l, ok := s.leases[id]
+	if ok {
+		l.timer.Reset(l.ttl)
+	}
+	s.mutex.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, leaseBody{TTL: l.ttl.Milliseconds()})
+}
+
+func (s *Store) end(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.lapse(id)
+	reply(w, http.StatusOK, nil)
+}
