--- a/internal/standin/site/command.go
+++ b/internal/standin/site/command.go
@@ -41,6 +41,7 @@
 	offsetFront  = 10
 	offsetReady  = 30
 	offsetDaemon = 50
+	offsetMetric = 70
 )
 
 func serve(ctx context.Context, c *cli.Command) error {
@@ -74,6 +75,7 @@
 	data, err := json.MarshalIndent(map[string]any{
 		"node-name": fmt.Sprintf("daemon-%d", n+1), "ip": "127.0.0.1", "zone": "z", "region": "local",
 		"bind-addresses": map[string]string{"frontend": local(port + offsetFront + n), "ready": local(port + offsetReady + n)},
+		"metrics":        local(port + offsetMetric + n),
 		"port-range":     []int{port + offsetDaemon + n, port + offsetDaemon + n},
 		"bounds":         map[string]int{"hold-max-ms": holdMax},
 		"platform":       map[string]string{"address": local(port + offsetStore)},
--- a/scripts/jobs.sh
+++ b/scripts/jobs.sh
@@ -40,7 +40,7 @@
   # jobs that have not begun
   curl -s -H 'Host: flags.example' $url/
   # metrics and state of a daemon
-  curl -s http://127.0.0.1:$((port + 30))/metrics
-  curl -s http://127.0.0.1:$((port + 30))/dump
+  curl -s http://127.0.0.1:$((port + 70))/metrics
+  curl -s http://127.0.0.1:$((port + 70))/dump
 TXT
 wait
