Answer a cancellation only once the job's end is stored; call the outcome of a broken-off submission unknown

Tests: TestCancelOfUnstoredEnd and TestOutcomesOfSubmit failed before; the latter also found a refusal after an unsure attempt.

--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -141,8 +141,12 @@
 		t.s.jobs = t.s.jobs.Delete(x.id)
 		return
 	}
+	var answer error
+	if x.stored && (x.final == job.Completed || x.final == job.Failed) {
+		answer = port.ErrNoJob // a cancellation that came too late
+	}
 	for _, w := range x.waiters {
-		t.emit(Answer{Token: w})
+		t.emit(Answer{Token: w, Err: answer})
 	}
 	first := !j.stored
 	j.stored = true
--- a/internal/decision/schedule/history_test.go
+++ b/internal/decision/schedule/history_test.go
@@ -106,3 +106,24 @@
 		}
 	}
 }
+
+// Guards against the answer that a job has ended while its end is not stored: the next owner would run it again.
+func TestCancelOfUnstoredEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 2)
+		w.submit(w.current(), job.Submission{
+			ID: "0000000000000001", Queue: "q", Spec: "s",
+			Steps: []job.Step{{Count: 1, Need: job.Resources{CPU: 1000}, Estimate: time.Second}},
+		})
+		w.advance(100 * time.Millisecond)
+		w.refuses = true
+		w.advance(4 * time.Second)
+		w.cancel(w.current(), "0000000000000001")
+		w.advance(time.Second)
+		if j := w.jobs["0000000000000001"]; j.settled != 0 {
+			t.Fatalf("cancellation is answered at %v, before the end of the job is stored", j.settled)
+		}
+		w.heal()
+		w.verify()
+	})
+}
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -209,8 +209,12 @@
 		t.emit(Answer{Token: m.Token, Err: port.ErrNoJob})
 	case j.state == job.Cancelled:
 		t.emit(Answer{Token: m.Token})
-	case j.state.Final() || j.outcome == job.Completed || j.outcome == job.Failed:
+	case j.state.Final():
 		t.emit(Answer{Token: m.Token, Err: port.ErrNoJob})
+	case j.outcome == job.Completed || j.outcome == job.Failed:
+		// Until its end is stored, the next owner may run the job again.
+		j.waiters = append(slices.Clip(j.waiters), m.Token)
+		t.s = t.s.withJob(j)
 	default:
 		j.outcome = job.Cancelled
 		j.waiters = append(slices.Clip(j.waiters), m.Token)
--- a/internal/decision/schedule/world_test.go
+++ b/internal/decision/schedule/world_test.go
@@ -49,6 +49,7 @@
 	accepted  bool
 	refused   bool
 	cancelled time.Duration // when the cancellation was acknowledged
+	settled   time.Duration // when a cancellation was answered for good, be it that the job had ended
 	asked     bool
 	done      map[job.Task]bool
 }
@@ -364,8 +365,8 @@
 		w.t.Fatalf("%v: start of the refused job %v", w.now, s.Task)
 	case w.noted[s.Task]:
 		w.t.Fatalf("%v: start of %v run %d, whose success was taken note of", w.now, s.Task, s.Run)
-	case j.cancelled != 0 && w.now-j.cancelled > 3*time.Second:
-		w.t.Fatalf("%v: start of %v after its cancellation at %v", w.now, s.Task, j.cancelled)
+	case j.settled != 0 && w.now-j.settled > 3*time.Second:
+		w.t.Fatalf("%v: start of %v after its cancellation was answered at %v", w.now, s.Task, j.settled)
 	}
 	for id, other := range w.executors {
 		w.expire(other)
@@ -502,6 +503,9 @@
 		if a.Err == nil && j.cancelled == 0 {
 			j.cancelled = w.now
 		}
+		if j.settled == 0 && j.accepted && (a.Err == nil || errors.Is(a.Err, port.ErrNoJob)) {
+			j.settled = w.now
+		}
 	case a.Err == nil:
 		j.accepted = true
 	case errors.Is(a.Err, port.ErrNotAccepted):
--- a/internal/link/desk/link.go
+++ b/internal/link/desk/link.go
@@ -125,6 +125,9 @@
 			attempt, cancel := context.WithTimeout(ctx, d.settings.Try.Value())
 			err = call(attempt, j)
 			cancel()
+			if unsure && errors.Is(err, port.ErrNotAccepted) {
+				return port.ErrUnsure // an earlier attempt may have been taken
+			}
 			if !again(err) {
 				return err
 			}
--- a/internal/link/pool/owner.go
+++ b/internal/link/pool/owner.go
@@ -231,7 +231,7 @@
 	o.replies = map[uint64]*ring.Ring[schedule.Answer]{}
 	o.mutex.Unlock()
 	for token, reply := range replies {
-		_ = reply.Push(context.Background(), schedule.Answer{Token: token, Err: port.ErrNotOwner}) // the ring of one answer has room
+		_ = reply.Push(context.Background(), schedule.Answer{Token: token, Err: port.ErrUnsure}) // the ring of one answer has room
 	}
 	for id := range o.channels {
 		o.disconnect(id)
