--- a/internal/decision/claim/claim.go
+++ b/internal/decision/claim/claim.go
@@ -89,7 +89,7 @@
 	return Orphans{since: orphans}, claims
 }
 
-// candidates returns the daemons that may take a duty, those with the fewest duties first.
+// candidates returns the daemons that may take a duty, those with the most power for each duty first.
 func candidates(d tenure.Directory, duty string, load map[string]int) []string {
 	var names []string
 	for _, m := range d.Members {
@@ -98,7 +98,9 @@
 		}
 	}
 	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(load[a], load[b]), cmp.Compare(weight(duty, a), weight(duty, b)), cmp.Compare(a, b))
+		return cmp.Or(
+			cmp.Compare(d.Members[b].Power/(load[b]+1), d.Members[a].Power/(load[a]+1)), cmp.Compare(load[a], load[b]),
+			cmp.Compare(weight(duty, a), weight(duty, b)), cmp.Compare(a, b))
 	})
 	return names
 }
--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -74,7 +74,6 @@
 	}
 	t.s.flight = nil
 	t.s.lastWrite = m.Now
-	t.s.mustPump = true
 	if errors.Is(m.Err, port.ErrNotDone) {
 		t.s.lastWrite = m.Now + refusedPause
 		for _, x := range f.jobs {
@@ -82,6 +81,7 @@
 		}
 		return
 	}
+	t.s.mustPump = t.s.mustPump || t.s.unconfirmed()
 	t.s.confirmed = f.sent
 	for _, x := range f.jobs {
 		t.stored(x)
@@ -212,6 +212,6 @@
 			t.s = t.s.withExecutor(e)
 			return
 		}
-		t.hold(e, t.s.policy.HoldWait, 0, false)
+		t.hold(e, t.s.holdWait(), 0, false)
 	})
 }
--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -45,6 +45,7 @@
 	holding  bool
 	deferred time.Duration // when a hold is due that waits for a write
 	runs     []runState
+	taken    job.Resources // what the runs take, those that are being stopped included
 	faults   float64       // failed ends, less successful ones
 	barred   time.Duration // it gets no tasks until then
 	vacate   time.Duration // it is being emptied until then
@@ -65,29 +66,23 @@
 
 func (e executorState) withRun(r runState) executorState {
 	if i := e.find(r.task, r.run); i >= 0 {
+		e.taken = e.taken.Minus(e.runs[i].need).Plus(r.need)
 		e.runs = slices.Clone(e.runs)
 		e.runs[i] = r
 		return e
 	}
+	e.taken = e.taken.Plus(r.need)
 	e.runs = append(slices.Clip(e.runs), r)
 	return e
 }
 
 func (e executorState) withoutRun(i int) executorState {
+	e.taken = e.taken.Minus(e.runs[i].need)
 	e.runs = slices.Delete(slices.Clone(e.runs), i, i+1)
 	return e
 }
 
-// used returns what the runs take, those that are being stopped included.
-func (e executorState) used() job.Resources {
-	var sum job.Resources
-	for _, r := range e.runs {
-		sum = sum.Plus(r.need)
-	}
-	return sum
-}
-
-// now returns the executor's clock at a time, in ms.
+// at returns the executor's clock at a time, in ms.
 func (e executorState) at(now time.Duration) int64 {
 	return e.clock + (now - e.clockAt).Milliseconds()
 }
--- a/internal/decision/schedule/held.go
+++ b/internal/decision/schedule/held.go
@@ -66,6 +66,11 @@
 	return executorState{info: e.info, listed: e.listed, born: born, holding: e.holding}
 }
 
+// holdWait returns how long a hold waits for an end: the longer, the more executors there are to ask.
+func (s State) holdWait() time.Duration {
+	return min(max(s.policy.HoldWait, time.Duration(s.executors.Len())*holdEach), holdLongest)
+}
+
 // hold asks an executor for its runs and extends their lease.
 func (t *turn) hold(e executorState, wait, after time.Duration, reset bool) {
 	h := port.Hold{Fence: t.s.Epoch, Wait: wait}
@@ -96,7 +101,6 @@
 	default:
 		t.answered(e, m)
 	}
-	t.s.mustPump = true
 }
 
 func (t *turn) missed(e executorState, m Held) {
@@ -125,6 +129,7 @@
 		e.open, e.opened = true, m.Now
 		t.emit(note(slog.LevelInfo, "executor.open", "executor", e.info.ID, "active", len(h.Runs), "ends", len(h.Ends)))
 	}
+	t.s.mustPump = t.s.mustPump || len(h.Ends) > 0
 	t.s = t.s.withExecutor(e)
 	before := t.s.gen
 	for _, end := range h.Ends {
@@ -153,7 +158,7 @@
 		t.s = t.s.withExecutor(e)
 		return
 	}
-	t.hold(e, t.s.policy.HoldWait, 0, false)
+	t.hold(e, t.s.holdWait(), 0, false)
 }
 
 // settle keeps those executors of the former owner whose runs are still unknown; nil keeps none.
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -20,7 +20,7 @@
 	var all []*host
 	s.each(func(e executorState) {
 		if e.usable(s.now, s.confirmed) {
-			all = append(all, &host{e: e, free: e.info.Capacity.Minus(e.used())})
+			all = append(all, &host{e: e, free: e.info.Capacity.Minus(e.taken)})
 		}
 	})
 	return all
@@ -36,6 +36,7 @@
 	if len(hosts) == 0 {
 		return
 	}
+	room := largest(hosts)
 	for i := t.s.ready.Iterator(); !i.Done(); {
 		r, p, _ := i.Next()
 		if r.class == classInTime && t.s.late(p) {
@@ -43,8 +44,19 @@
 			t.s.mustPump = true
 			continue
 		}
-		t.placeWork(hosts, p)
+		if t.placeWork(hosts, p, room) {
+			room = largest(hosts)
+		}
+	}
+}
+
+// largest returns the most of each resource that is free on one executor.
+func largest(hosts []*host) job.Resources {
+	var r job.Resources
+	for _, h := range hosts {
+		r = job.Resources{CPU: max(r.CPU, h.free.CPU), Memory: max(r.Memory, h.free.Memory), GPU: max(r.GPU, h.free.GPU)}
 	}
+	return r
 }
 
 // late reports whether a work can no longer end in time.
@@ -53,21 +65,24 @@
 	return ok && s.now > j.latest(j.works[p.work])
 }
 
-func (t *turn) placeWork(hosts []*host, p place) {
+// placeWork starts the tasks of a work that find room and reports whether it has started any.
+func (t *turn) placeWork(hosts []*host, p place, room job.Resources) (started bool) {
 	j, ok := t.s.jobs.Get(p.job)
 	if !ok {
-		return
+		return false
 	}
 	w := j.works[p.work]
 	step := j.sub.Steps[w.step]
+	if !step.Demand().Within(room) {
+		return false
+	}
 	granted, ok := t.granted(j, p.work, hosts)
 	if !ok {
-		return
+		return false
 	}
 	f := fit{step: step, need: step.Demand(), work: w, job: j, granted: granted, now: t.s.now}
 	if step.Gang {
-		t.placeGang(hosts, f)
-		return
+		return t.placeGang(hosts, f)
 	}
 	for index, x := range w.tasks {
 		if x.phase != waiting {
@@ -79,18 +94,20 @@
 		}
 		h := f.best(hosts, x)
 		if h == nil {
-			return
+			return started
 		}
 		t.start(h, f, index, x.run)
+		started = true
 	}
+	return started
 }
 
 // placeGang starts all tasks of a gang with one run number, or none.
-func (t *turn) placeGang(hosts []*host, f fit) {
+func (t *turn) placeGang(hosts []*host, f fit) bool {
 	var run uint64
 	for _, x := range f.work.tasks {
 		if x.phase != waiting || x.notUntil > t.s.now {
-			return // members of the former run have not all ended
+			return false // members of the former run have not all ended
 		}
 		run = max(run, x.run)
 	}
@@ -109,11 +126,12 @@
 		h.e.runs = h.e.runs[:len(h.e.runs)-1]
 	}
 	if len(chosen) < len(f.work.tasks) {
-		return
+		return false
 	}
 	for index, h := range chosen {
 		t.start(h, f, index, run)
 	}
+	return true
 }
 
 // fit is the search for an executor for the tasks of a work.
--- a/internal/decision/schedule/policy.go
+++ b/internal/decision/schedule/policy.go
@@ -22,7 +22,9 @@
 
 // Fixed figures.
 const (
-	clockDrift   = 0.98 // an executor's clock may run 2% slow
+	clockDrift   = 0.98                    // an executor's clock may run 2% slow
+	holdEach     = 12 * time.Millisecond   // of a hold's wait for each executor of the pool: keeps the calls of an owner below 100 a second
+	holdLongest  = 1500 * time.Millisecond // of a hold's wait, so that a silent executor is noticed well before its lease ends
 	proofMargin  = 100 * time.Millisecond
 	runsPerEpoch = 10_000             // run numbers of an epoch, so that a new owner's runs are above all earlier ones
 	maxSpace     = port.MaxChange - 2 // entries of a commit beside the condition and the write of the owner's chain
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -102,7 +102,7 @@
 		return
 	}
 	if !e.holding && e.deferred != 0 && t.s.now >= e.deferred {
-		t.hold(e, t.s.policy.HoldWait, 0, false)
+		t.hold(e, t.s.holdWait(), 0, false)
 	}
 }
 
@@ -269,7 +269,7 @@
 	for _, r := range e.runs {
 		t.free(r.task, r.run, "", 0)
 	}
-	e.runs = nil
+	e.runs, e.taken = nil, job.Resources{}
 	return e
 }
 
@@ -371,7 +371,6 @@
 		t.emit(note(slog.LevelWarn, "start.unsure", "task", m.Task.String(), "run", m.Run, "executor", m.Executor, "error", m.Err))
 		t.s = t.s.withExecutor(t.stop(e, i))
 	}
-	t.s.mustPump = true
 }
 
 // refused reports whether an order certainly has no effect, now or later.
--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -50,7 +50,7 @@
 	s.each(func(e executorState) {
 		x := ExecutorSummary{
 			ID: e.info.ID, Instance: e.info.Instance, Rack: e.info.Rack(), Open: e.open, Draining: e.info.Draining,
-			Barred: s.now < e.barred, Vacating: s.now < e.vacate, Runs: len(e.runs), Used: e.used(), Capacity: e.info.Capacity, Slowness: e.slowness,
+			Barred: s.now < e.barred, Vacating: s.now < e.vacate, Runs: len(e.runs), Used: e.taken, Capacity: e.info.Capacity, Slowness: e.slowness,
 		}
 		if e.failing != 0 {
 			x.Silent = s.now - e.clockAt
@@ -64,7 +64,7 @@
 func (s State) Load() port.Load {
 	load := port.Load{Executors: map[string]port.ExecutorLoad{}}
 	s.each(func(e executorState) {
-		x := port.ExecutorLoad{CPU: e.used().CPU, Runs: len(e.runs), Usable: e.usable(s.now, s.confirmed)}
+		x := port.ExecutorLoad{CPU: e.taken.CPU, Runs: len(e.runs), Usable: e.usable(s.now, s.confirmed)}
 		for _, r := range e.runs {
 			if r.serves || r.filler {
 				x.Lasting++
--- a/internal/link/member/link.go
+++ b/internal/link/member/link.go
@@ -20,6 +20,7 @@
 // Settings of the plug-in.
 type Settings struct {
 	Address string          `json:"address"` // at which other daemons reach this one
+	Power   int             `json:"power"`   // thousandths of a core that this daemon may use, 0 when unknown
 	TTL     kernel.Duration `json:"ttl"`     // of the lease: how long a dead owner keeps its duties
 	Renew   kernel.Duration `json:"renew"`   // between renewals
 	Timeout kernel.Duration `json:"timeout"` // of a call
@@ -52,7 +53,7 @@
 func build(h *kernel.Host, s Settings) ([]kernel.Duty, error) {
 	l := &link{
 		host: h, log: h.Log.With("plugin", Name), settings: s,
-		self:  tenure.Member{Name: h.Settings.Name, Address: s.Address, Zone: h.Settings.Zone, Start: time.Now().UnixMilli()},
+		self:  tenure.Member{Name: h.Settings.Name, Address: s.Address, Power: s.Power, Zone: h.Settings.Zone, Start: time.Now().UnixMilli()},
 		ended: make(chan struct{}), leave: make(chan struct{}),
 	}
 	kernel.Provide[port.Membership](h, l)
--- a/internal/model/tenure/record.go
+++ b/internal/model/tenure/record.go
@@ -18,6 +18,7 @@
 	Zone    string `cbor:"zone"`
 	Start   int64  `cbor:"start"` // Unix milliseconds; tells the lives of one name apart
 	Leaving bool   `cbor:"leaving,omitempty"`
+	Power   int    `cbor:"power,omitempty"` // thousandths of a core that it may use
 }
 
 // Owner says which daemon has a duty; the record outlives the daemon.
