--- a/cmd/teaselloft/main.go
+++ b/cmd/teaselloft/main.go
@@ -10,6 +10,7 @@
 	_ "teaselloft/internal/command/maintenance"
 	_ "teaselloft/internal/command/process"
 	_ "teaselloft/internal/command/request"
+	_ "teaselloft/internal/command/story"
 	_ "teaselloft/internal/link/caller"
 	_ "teaselloft/internal/link/config"
 	_ "teaselloft/internal/link/desk"
--- a/internal/decision/schedule/held.go
+++ b/internal/decision/schedule/held.go
@@ -198,7 +198,11 @@
 	e = e.withOutcome(r, end.How, t.s.now)
 	t.s = t.s.withExecutor(e)
 	j, x, ok := t.task(end.Task)
-	t.emit(note(slog.LevelDebug, "run.ended", "task", end.Task.String(), "run", end.Run, "executor", id, "how", end.How.String()))
+	level := slog.LevelInfo
+	if end.How == job.EndDone {
+		level = slog.LevelDebug // the job's own line tells it
+	}
+	t.emit(note(level, "run.ended", "task", end.Task.String(), "run", end.Run, "executor", id, "how", end.How.String()))
 	if !ok || x.phase == done || j.state.Final() {
 		return
 	}
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -1,8 +1,10 @@
 package schedule
 
 import (
+	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"teaselloft/internal/model/job"
@@ -84,7 +86,13 @@
 	if step.Gang {
 		return t.placeGang(hosts, f)
 	}
-	for index, x := range w.tasks {
+	return t.placeTasks(hosts, f)
+}
+
+// placeTasks starts the waiting tasks of a work one by one, as far as there is room.
+func (t *turn) placeTasks(hosts []*host, f fit) (started bool) {
+	var on []string
+	for index, x := range f.work.tasks {
 		if x.phase != waiting {
 			continue
 		}
@@ -94,12 +102,17 @@
 		}
 		h := f.best(hosts, x)
 		if h == nil {
-			return started
+			break
 		}
 		t.start(h, f, index, x.run)
-		started = true
+		on = append(on, fmt.Sprintf("%d:%s", index, h.e.info.ID))
 	}
-	return started
+	if len(on) == 0 {
+		return false
+	}
+	t.emit(note(slog.LevelInfo, "step.started", "job", string(f.job.sub.ID), "occurrence", f.work.occurrence, "step", f.work.step,
+		"tasks", strings.Join(on, ","), "left", f.work.waiting-len(on), "waited", t.s.now-f.work.due, "late", t.s.now > f.job.latest(f.work)))
+	return true
 }
 
 // placeGang starts all tasks of a gang with one run number, or none.
@@ -253,5 +266,5 @@
 		j.begun = true
 		t.s = t.s.withJob(j)
 	}
-	t.emit(StartRun{Executor: e.info.ID, Start: s}, note(slog.LevelDebug, "run.start", "task", task.String(), "run", run, "executor", e.info.ID))
+	t.emit(StartRun{Executor: e.info.ID, Start: s})
 }
