--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"teaselloft/internal/model/job"
@@ -89,6 +90,39 @@
 	t.acknowledge()
 }
 
+// stalled lets callers go that wait for a store which does not answer: those in the write learn that
+// its outcome is unknown, new jobs that are in no write are refused.
+func (t *turn) stalled(m Stalled) {
+	if t.s.flight == nil || t.s.flight.number != m.Number || t.s.flight.stalled {
+		return
+	}
+	f := *t.s.flight
+	f.stalled, f.jobs = true, slices.Clone(f.jobs)
+	for i, x := range f.jobs {
+		for _, w := range x.waiters {
+			t.emit(Answer{Token: w, Err: port.ErrUnsure})
+		}
+		f.jobs[i].waiters = nil
+	}
+	t.s.flight = &f
+	inWrite := func(id job.ID) bool {
+		return slices.ContainsFunc(f.jobs, func(x flightJob) bool { return x.id == id })
+	}
+	for i := t.s.changed.Iterator(); !i.Done(); {
+		gen, id, _ := i.Next()
+		j, ok := t.s.jobs.Get(id)
+		if !ok || j.stored || inWrite(id) {
+			continue
+		}
+		t.emit(note(slog.LevelInfo, "job.refused", "job", string(id), "reason", "store does not answer"))
+		for _, w := range j.waiters {
+			t.emit(Answer{Token: w, Err: port.ErrNotAccepted})
+		}
+		t.s.changed = t.s.changed.Delete(gen)
+		t.s.jobs = t.s.jobs.Delete(id)
+	}
+}
+
 // undo takes back what a write that had no effect was to store.
 func (t *turn) undo(x flightJob) {
 	j, ok := t.s.jobs.Get(x.id)
--- a/internal/decision/schedule/message.go
+++ b/internal/decision/schedule/message.go
@@ -70,6 +70,12 @@
 	Err    error
 }
 
+// Stalled says that a commit has got no answer yet; a Committed with the same number follows.
+type Stalled struct {
+	Now    time.Duration
+	Number uint64
+}
+
 // Advised is the answer to an Advise effect.
 type Advised struct {
 	Step   job.Task
@@ -95,6 +101,7 @@
 func (Held) message()       {}
 func (Ordered) message()    {}
 func (Committed) message()  {}
+func (Stalled) message()    {}
 func (Advised) message()    {}
 func (Vacate) message()     {}
 
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -39,9 +39,10 @@
 
 // flight is a commit that is not answered yet.
 type flight struct {
-	number uint64
-	sent   time.Duration
-	jobs   []flightJob
+	number  uint64
+	sent    time.Duration
+	jobs    []flightJob
+	stalled bool // an attempt got no answer: callers do not wait for it
 }
 
 type flightJob struct {
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -53,6 +53,9 @@
 	case Committed:
 		t.clock(m.Now)
 		t.committed(m)
+	case Stalled:
+		t.clock(m.Now)
+		t.stalled(m)
 	case Advised:
 		t.clock(m.Now)
 		t.advised(m)
@@ -186,6 +189,10 @@
 		}
 		return
 	}
+	if t.s.flight != nil && t.s.flight.stalled {
+		t.emit(Answer{Token: m.Token, Err: port.ErrNotAccepted})
+		return
+	}
 	j := t.s.newJob(m.Submission, digest, m.Unix, m.Now)
 	j.waiters = []uint64{m.Token}
 	t.s = t.s.withChange(j)
--- a/internal/link/desk/link.go
+++ b/internal/link/desk/link.go
@@ -25,6 +25,7 @@
 	Try   kernel.Duration `json:"try"`   // of one attempt to reach an owner, which may have gone silent
 	Pause kernel.Duration `json:"pause"` // before another attempt
 	Give  kernel.Duration `json:"give"`  // after which a request without an owner is refused
+	Doubt kernel.Duration `json:"doubt"` // after which a request of unknown outcome is answered so
 }
 
 // Defaults of the settings.
@@ -32,6 +33,7 @@
 	Try:   kernel.Duration(700 * time.Millisecond),
 	Pause: kernel.Duration(40 * time.Millisecond),
 	Give:  kernel.Duration(150 * time.Millisecond),
+	Doubt: kernel.Duration(700 * time.Millisecond),
 }
 
 func init() {
@@ -136,6 +138,9 @@
 		if !unsure && clock.Boot()-began > d.settings.Give.Value() {
 			return refused
 		}
+		if unsure && clock.Boot()-began > d.settings.Doubt.Value() {
+			return port.ErrUnsure
+		}
 		select {
 		case <-ctx.Done():
 			if unsure {
--- a/internal/link/pool/fleet.go
+++ b/internal/link/pool/fleet.go
@@ -225,7 +225,7 @@
 		announcements.WaveStatus(e.Wave, e.Completed),
 		{Key: fmt.Sprintf("%s%d", prefixWave, e.Wave), Value: job.Encode(e.Done)},
 	}}
-	err := f.writer.apply(ctx, c, f.link.log)
+	err := f.writer.apply(ctx, c, f.link.log, func() {})
 	switch {
 	case errors.Is(err, errSuperseded):
 		f.link.drop(f, err.Error())
--- a/internal/link/pool/writer.go
+++ b/internal/link/pool/writer.go
@@ -48,7 +48,9 @@
 			return
 		}
 		began := clock.Boot()
-		err = o.writer.apply(ctx, c, o.link.log)
+		err = o.writer.apply(ctx, c, o.link.log, func() {
+			o.tell(ctx, schedule.Stalled{Now: clock.Boot(), Number: c.Number})
+		})
 		o.link.meters.commit.Update((clock.Boot() - began).Milliseconds())
 		switch {
 		case errors.Is(err, errSuperseded):
@@ -63,8 +65,9 @@
 	}
 }
 
-// apply returns nil once the write is stored, or an error that wraps port.ErrNotDone if it never will be.
-func (w *writer) apply(ctx context.Context, c schedule.Commit, log *slog.Logger) error {
+// apply returns nil once the write is stored, or an error that wraps port.ErrNotDone if it never will be;
+// it calls stalled once when an attempt gets no answer.
+func (w *writer) apply(ctx context.Context, c schedule.Commit, log *slog.Logger, stalled func()) error {
 	next := w.chain
 	next.Number = c.Number
 	change := port.Change{
@@ -90,6 +93,9 @@
 				return err
 			}
 		default:
+			if !unsure {
+				stalled()
+			}
 			unsure = true
 		}
 		log.Info("write is tried again", "event", "store.retry", "key", w.key, "number", c.Number, "writes", len(c.Writes),
