--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -30,9 +30,9 @@
 			break
 		}
 		c.Writes, c.Removes = append(c.Writes, writes...), append(c.Removes, removes...)
-		f.jobs = append(f.jobs, flightJob{id: id, gen: gen, final: j.outcome, stored: j.stored, waiters: j.waiters})
+		f.jobs = append(f.jobs, flightJob{id: id, gen: gen, final: j.outcome, stored: j.stored, cancels: j.cancels})
 		t.s.changed = t.s.changed.Delete(gen)
-		j.dirty, j.waiters = 0, nil
+		j.dirty, j.cancels = 0, nil
 		t.s = t.s.withJob(j)
 	}
 	t.s.flight = &f
@@ -90,6 +90,31 @@
 	t.acknowledge()
 }
 
+// answer ends requests with the same answer.
+func (t *turn) answer(err error, tokens ...[]uint64) {
+	for _, token := range slices.Concat(tokens...) {
+		t.emit(Answer{Token: token, Err: err})
+	}
+}
+
+// late returns the answer to a cancellation of a job with a stored outcome.
+func late(final job.State) error {
+	if final == job.Cancelled {
+		return nil
+	}
+	return port.ErrNoJob
+}
+
+// holds reports whether a commit writes a job.
+func (f *flight) holds(id job.ID) bool {
+	return slices.ContainsFunc(f.jobs, func(x flightJob) bool { return x.id == id })
+}
+
+// stalls reports whether a job is in a commit that has got no answer yet.
+func (f *flight) stalls(id job.ID) bool {
+	return f != nil && f.stalled && f.holds(id)
+}
+
 // stalled lets callers go that wait for a store which does not answer: those in the write learn that
 // its outcome is unknown, new jobs that are in no write are refused.
 func (t *turn) stalled(m Stalled) {
@@ -99,25 +124,24 @@
 	f := *t.s.flight
 	f.stalled, f.jobs = true, slices.Clone(f.jobs)
 	for i, x := range f.jobs {
-		for _, w := range x.waiters {
-			t.emit(Answer{Token: w, Err: port.ErrUnsure})
+		t.answer(port.ErrUnsure, x.cancels)
+		f.jobs[i].cancels = nil
+		if j, ok := t.s.jobs.Get(x.id); ok && !x.stored {
+			t.answer(port.ErrUnsure, j.submits)
+			j.submits = nil
+			t.s = t.s.withJob(j)
 		}
-		f.jobs[i].waiters = nil
 	}
 	t.s.flight = &f
-	inWrite := func(id job.ID) bool {
-		return slices.ContainsFunc(f.jobs, func(x flightJob) bool { return x.id == id })
-	}
 	for i := t.s.changed.Iterator(); !i.Done(); {
 		gen, id, _ := i.Next()
 		j, ok := t.s.jobs.Get(id)
-		if !ok || j.stored || inWrite(id) {
+		if !ok || j.stored || f.holds(id) {
 			continue
 		}
 		t.emit(note(slog.LevelInfo, "job.refused", "job", string(id), "reason", "store does not answer"))
-		for _, w := range j.waiters {
-			t.emit(Answer{Token: w, Err: port.ErrNotAccepted})
-		}
+		t.answer(port.ErrNotAccepted, j.submits)
+		t.answer(port.ErrUnavailable, j.cancels)
 		t.s.changed = t.s.changed.Delete(gen)
 		t.s.jobs = t.s.jobs.Delete(id)
 	}
@@ -132,9 +156,8 @@
 	switch {
 	case !x.stored:
 		t.emit(note(slog.LevelInfo, "job.refused", "job", string(x.id), "reason", "store refused the write"))
-		for _, w := range append(x.waiters, j.waiters...) {
-			t.emit(Answer{Token: w, Err: port.ErrNotAccepted})
-		}
+		t.answer(port.ErrNotAccepted, j.submits)
+		t.answer(port.ErrUnavailable, x.cancels, j.cancels)
 		if j.dirty != 0 {
 			t.s.changed = t.s.changed.Delete(j.dirty)
 		}
@@ -144,17 +167,15 @@
 		t.s.ended = t.s.ended.Set(x.id, struct{}{})
 		return
 	case x.final == job.Cancelled:
-		for _, w := range x.waiters {
-			t.emit(Answer{Token: w, Err: port.ErrUnavailable})
-		}
-		if j.outcome == job.Cancelled && len(j.waiters) == 0 {
+		t.answer(port.ErrUnavailable, x.cancels)
+		if j.outcome == job.Cancelled && len(j.cancels) == 0 {
 			j.outcome = job.Queued
 		}
 		if j.complete() {
 			j.outcome = job.Completed
 		}
 	default:
-		j.waiters = append(x.waiters, j.waiters...)
+		j.cancels = slices.Concat(x.cancels, j.cancels)
 	}
 	if j.dirty != 0 {
 		t.s.changed = t.s.changed.Delete(j.dirty)
@@ -175,13 +196,9 @@
 		t.s.jobs = t.s.jobs.Delete(x.id)
 		return
 	}
-	var answer error
-	if x.stored && (x.final == job.Completed || x.final == job.Failed) {
-		answer = port.ErrNoJob // a cancellation that came too late
-	}
-	for _, w := range x.waiters {
-		t.emit(Answer{Token: w, Err: answer})
-	}
+	t.answer(nil, j.submits)
+	t.answer(late(x.final), x.cancels)
+	j.submits = nil
 	first := !j.stored
 	j.stored = true
 	if x.final.Final() {
@@ -208,13 +225,7 @@
 	t.s = t.s.withJob(j)
 	t.s = t.s.withAllRanks(id) // takes its works from the ready ones
 	t.stopJob(id)
-	for _, w := range j.waiters {
-		err := error(nil)
-		if final != job.Cancelled {
-			err = port.ErrNoJob
-		}
-		t.emit(Answer{Token: w, Err: err})
-	}
+	t.answer(late(final), j.cancels)
 	if j.dirty != 0 {
 		t.s.changed = t.s.changed.Delete(j.dirty)
 	}
--- a/internal/decision/schedule/history_test.go
+++ b/internal/decision/schedule/history_test.go
@@ -44,7 +44,7 @@
 
 func (w *world) action(serial *int) {
 	id := fmt.Sprintf("x%d", rapid.IntRange(0, len(w.executors)-1).Draw(w.t, "executor"))
-	switch rapid.IntRange(0, 11).Draw(w.t, "action") {
+	switch rapid.IntRange(0, 13).Draw(w.t, "action") {
 	case 0, 1, 2, 3, 4:
 		w.submit(w.current(), generate(w.t, *serial))
 		*serial++
@@ -65,7 +65,14 @@
 		w.executors[id].silent = w.now + time.Duration(rapid.IntRange(300, 9000).Draw(w.t, "silent"))*time.Millisecond
 	case 10:
 		w.lossy = rapid.SampledFrom([]float64{0, 0, 0.3, 0.7}).Draw(w.t, "lossy")
-	case 11:
+	case 11, 12:
+		if *serial > 0 { // the caller asks again
+			j := w.jobs[job.ID(fmt.Sprintf("%016x", rapid.IntRange(max(1, *serial-2), *serial).Draw(w.t, "again")))]
+			if j.settled == 0 {
+				w.submit(w.current(), j.sub)
+			}
+		}
+	case 13:
 		w.refuses = rapid.Bool().Draw(w.t, "refuses")
 	}
 }
@@ -127,3 +134,22 @@
 		w.verify()
 	})
 }
+
+// Guards against a repeated submission that waits for the end of its job.
+func TestRepeatedSubmission(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 2)
+		sub := job.Submission{
+			ID: "0000000000000001", Queue: "q", Spec: "s",
+			Steps: []job.Step{{Count: 1, Need: job.Resources{CPU: 1000}, Estimate: time.Second}},
+		}
+		w.submit(w.current(), sub)
+		w.advance(time.Duration(rapid.IntRange(0, 20).Draw(t, "pause")) * time.Millisecond)
+		w.jobs[sub.ID].accepted = false
+		w.submit(w.current(), sub)
+		w.advance(600 * time.Millisecond)
+		if j := w.jobs[sub.ID]; !j.accepted && !j.unsure {
+			t.Fatalf("repeated submission is not answered after 600 ms")
+		}
+	})
+}
--- a/internal/decision/schedule/job.go
+++ b/internal/decision/schedule/job.go
@@ -72,7 +72,8 @@
 	begun     bool
 	recovered bool // read from the store at a takeover: its tasks may run on executors that have not answered yet
 	works     []work
-	waiters   []uint64 // tokens that are answered once the next write is stored
+	submits   []uint64 // tokens that are answered once the job is stored
+	cancels   []uint64 // tokens that are answered once its outcome is stored
 	dirty     uint64   // generation of the oldest change that is not in a write, 0 when there is none
 	digest    uint64
 	tickets   map[int]tickets
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -50,7 +50,7 @@
 	gen     uint64
 	stored  bool // the job itself was stored before
 	final   job.State
-	waiters []uint64
+	cancels []uint64
 }
 
 // place names a work.
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -183,8 +183,10 @@
 			t.emit(Answer{Token: m.Token, Err: port.ErrOtherJob})
 		case j.stored:
 			t.emit(Answer{Token: m.Token})
+		case t.s.flight.stalls(m.Submission.ID):
+			t.emit(Answer{Token: m.Token, Err: port.ErrUnsure})
 		default:
-			j.waiters = append(slices.Clip(j.waiters), m.Token)
+			j.submits = append(slices.Clip(j.submits), m.Token)
 			t.s = t.s.withJob(j)
 		}
 		return
@@ -194,7 +196,7 @@
 		return
 	}
 	j := t.s.newJob(m.Submission, digest, m.Unix, m.Now)
-	j.waiters = []uint64{m.Token}
+	j.submits = []uint64{m.Token}
 	t.s = t.s.withChange(j)
 }
 
@@ -220,11 +222,11 @@
 		t.emit(Answer{Token: m.Token, Err: port.ErrNoJob})
 	case j.outcome == job.Completed || j.outcome == job.Failed:
 		// Until its end is stored, the next owner may run the job again.
-		j.waiters = append(slices.Clip(j.waiters), m.Token)
+		j.cancels = append(slices.Clip(j.cancels), m.Token)
 		t.s = t.s.withJob(j)
 	default:
 		j.outcome = job.Cancelled
-		j.waiters = append(slices.Clip(j.waiters), m.Token)
+		j.cancels = append(slices.Clip(j.cancels), m.Token)
 		t.s = t.s.withChange(j)
 		t.s = t.s.withAllRanks(m.ID)
 	}
--- a/internal/decision/schedule/world_test.go
+++ b/internal/decision/schedule/world_test.go
@@ -47,7 +47,8 @@
 type submitted struct {
 	sub       job.Submission
 	accepted  bool
-	refused   bool
+	attempts  int // to hand it in
+	refused   int // of them, that were refused as not run
 	unsure    bool
 	cancelled time.Duration // when the cancellation was acknowledged
 	settled   time.Duration // when a cancellation was answered for good, be it that the job had ended
@@ -363,7 +364,7 @@
 	switch {
 	case j == nil:
 		w.t.Fatalf("%v: start of a job that nobody submitted: %v", w.now, s.Task)
-	case j.refused && !j.accepted && !j.unsure:
+	case j.refused == j.attempts:
 		w.t.Fatalf("%v: start of the refused job %v", w.now, s.Task)
 	case w.noted[s.Task]:
 		w.t.Fatalf("%v: start of %v run %d, whose success was taken note of", w.now, s.Task, s.Run)
@@ -480,7 +481,10 @@
 
 // submit hands a job in; its token is even, that of its cancellation odd.
 func (w *world) submit(o *owner, sub job.Submission) {
-	w.jobs[sub.ID] = &submitted{sub: sub, done: map[job.Task]bool{}}
+	if w.jobs[sub.ID] == nil {
+		w.jobs[sub.ID] = &submitted{sub: sub, done: map[job.Task]bool{}}
+	}
+	w.jobs[sub.ID].attempts++
 	w.tell(o, schedule.Submit{Token: token(sub.ID), Now: w.now, Unix: w.unix(), Submission: sub})
 }
 
@@ -510,10 +514,12 @@
 		}
 	case a.Err == nil:
 		j.accepted = true
+	case errors.Is(a.Err, port.ErrNoJob):
+		w.t.Fatalf("%v: submission of %s is answered with %v", w.now, j.sub.ID, a.Err)
 	case errors.Is(a.Err, port.ErrUnsure):
 		j.unsure = true
 	case errors.Is(a.Err, port.ErrNotAccepted):
-		j.refused = true
+		j.refused++
 	}
 }
 
