--- a/internal/decision/claim/claim.go
+++ b/internal/decision/claim/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -108,6 +107,3 @@
 func weight(duty, name string) uint64 {
 	return xxhash.Sum64String(duty + "\x00" + name)
 }
-
-// Since returns a copy of the times since when duties have no owner.
-func (o Orphans) Since() map[string]time.Duration { return maps.Clone(o.since) }
--- /dev/null
+++ b/internal/decision/claim/claim_test.go
@@ -0,0 +1,97 @@
+package claim_test
+
+import (
+	"testing"
+	"time"
+
+	"teaselloft/internal/decision/claim"
+	"teaselloft/internal/model/site"
+	"teaselloft/internal/model/tenure"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func directory(members ...tenure.Member) tenure.Directory {
+	d := tenure.Directory{
+		Config: &site.Config{Version: 1, Pools: []site.Pool{{Name: "a"}, {Name: "b"}, {Name: "spare", Standby: true}}},
+		Listed: true,
+	}
+	for _, m := range members {
+		d = d.WithMember(m)
+	}
+	return d
+}
+
+// claims returns what each member claims at a time.
+func claims(d tenure.Directory, now time.Duration, change func(*claim.Input)) map[string][]string {
+	out := map[string][]string{}
+	for name, m := range d.Members {
+		in := claim.Input{Now: now, Self: m, Member: time.Second, Directory: d}
+		if change != nil {
+			change(&in)
+		}
+		if _, duties := claim.Decide(claim.Orphans{}, in); duties != nil {
+			out[name] = duties
+		}
+	}
+	return out
+}
+
+// Guards against a duty that two daemons claim at once, or none, and duties that gather at one daemon.
+func TestEachDutyHasOneClaimant(t *testing.T) {
+	c := qt.New(t)
+	d := directory(tenure.Member{Name: "m1", Power: 400}, tenure.Member{Name: "m2", Power: 400}, tenure.Member{Name: "m3", Power: 400})
+	seen := map[string]int{}
+	for name, duties := range claims(d, 10*time.Second, nil) {
+		c.Check(duties, qt.HasLen, 1, qt.Commentf("%s", name))
+		for _, duty := range duties {
+			seen[duty]++
+		}
+	}
+	c.Assert(seen, qt.DeepEquals, map[string]int{tenure.Fleet: 1, "a": 1, "b": 1})
+}
+
+// Guards against duties at a machine that has too little processor time for them.
+func TestStrongestMachineOwns(t *testing.T) {
+	c := qt.New(t)
+	d := directory(tenure.Member{Name: "weak", Power: 100}, tenure.Member{Name: "strong", Power: 800})
+	c.Assert(claims(d, 10*time.Second, nil), qt.DeepEquals, map[string][]string{"strong": {tenure.Fleet, "a", "b"}})
+}
+
+// Guards against takeovers by a daemon that has just started, or that cannot tell whether an owner lives.
+func TestNoClaimInDoubt(t *testing.T) {
+	c := qt.New(t)
+	d := directory(tenure.Member{Name: "m1"})
+	for name, change := range map[string]func(*claim.Input){
+		"just started":   func(in *claim.Input) { in.Member = in.Now - claim.Settle/2 },
+		"store away":     func(in *claim.Input) { in.StoreLost = true },
+		"store back":     func(in *claim.Input) { in.StoreBack = in.Now - claim.Return/2 },
+		"nothing listed": func(in *claim.Input) { in.Directory.Listed = false },
+	} {
+		c.Check(claims(d, 10*time.Second, change), qt.HasLen, 0, qt.Commentf("%s", name))
+	}
+}
+
+// Guards against an owner that is replaced while it lives, and one that is kept although its daemon started anew.
+func TestLiveOwnerStays(t *testing.T) {
+	c := qt.New(t)
+	d := directory(tenure.Member{Name: "m1", Start: 1}, tenure.Member{Name: "m2", Start: 1})
+	for _, duty := range claim.Duties(d) {
+		d = d.WithOwner(tenure.Owner{Duty: duty, Name: "m1", Start: 1, Epoch: 1})
+	}
+	c.Assert(claims(d, 10*time.Second, nil), qt.HasLen, 0)
+	d = d.WithMember(tenure.Member{Name: "m1", Start: 2})
+	c.Assert(len(claims(d, 10*time.Second, nil)) > 0, qt.IsTrue)
+}
+
+// Guards against a duty without an owner because the first candidate does not act.
+func TestNextCandidateFollows(t *testing.T) {
+	c := qt.New(t)
+	d := directory(tenure.Member{Name: "m1", Power: 800}, tenure.Member{Name: "m2", Power: 100})
+	in := claim.Input{Now: 10 * time.Second, Self: d.Members["m2"], Member: time.Second, Directory: d}
+	orphans, duties := claim.Decide(claim.Orphans{}, in)
+	c.Assert(duties, qt.HasLen, 0)
+	in.Now += claim.Turn
+	_, duties = claim.Decide(orphans, in)
+	c.Assert(duties, qt.DeepEquals, []string{tenure.Fleet, "a", "b"})
+}
--- a/internal/decision/schedule/policy.go
+++ b/internal/decision/schedule/policy.go
@@ -15,9 +15,7 @@
 	HoldBackoff time.Duration // between holds that fail
 	CommitGap   time.Duration // between two writes, to stay within the store's rate with several owners
 	Retention   time.Duration // of the outcome of a job that has ended
-	EarlyStart  time.Duration // by which a repeated job may start before its time
 	Quarantine  time.Duration // for which an executor that fails tasks gets none
-	Notice      time.Duration // after which a lasting task that is not at work counts as away for any cause
 }
 
 // Fixed figures.
@@ -40,8 +38,6 @@
 		HoldBackoff: 200 * time.Millisecond,
 		CommitGap:   20 * time.Millisecond,
 		Retention:   200 * time.Second, // above the 120 s for which an outcome can be asked for
-		EarlyStart:  0,
 		Quarantine:  3 * time.Second,
-		Notice:      4500 * time.Millisecond,
 	}
 }
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -117,7 +117,7 @@
 		if !ok || !j.stored {
 			continue
 		}
-		for next < j.sub.Occurrences() && j.sub.Due(next) <= t.s.unix+t.s.policy.EarlyStart.Milliseconds() {
+		for next < j.sub.Occurrences() && j.sub.Due(next) <= t.s.unix {
 			j = j.withOccurrence(next, t.s.now)
 			next++
 		}
--- /dev/null
+++ b/internal/decision/upkeep/upkeep_test.go
@@ -0,0 +1,137 @@
+package upkeep_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"teaselloft/internal/decision/upkeep"
+	"teaselloft/internal/model/job"
+	"teaselloft/internal/model/port"
+	"teaselloft/internal/model/site"
+	"teaselloft/internal/model/tenure"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const cores = 16_000
+
+func list(pool string, n int) []site.Instance {
+	var all []site.Instance
+	for i := range n {
+		name := fmt.Sprintf("%s-%d", pool, i)
+		all = append(all, site.Instance{
+			Name: name, Pool: pool, State: site.InstanceUp, Capacity: job.Resources{CPU: cores}, Executor: "x-" + name,
+		})
+	}
+	return all
+}
+
+func load(pool string, n int, cpu, backlog int64) port.Load {
+	l := port.Load{Backlog: backlog, Executors: map[string]port.ExecutorLoad{}}
+	for i := range n {
+		l.Executors[fmt.Sprintf("x-%s-%d", pool, i)] = port.ExecutorLoad{CPU: cpu, Runs: int(cpu / 1000), Usable: true}
+	}
+	return l
+}
+
+func config() tenure.Directory {
+	return tenure.Directory{Config: &site.Config{Version: 1, Pools: []site.Pool{{Name: "a"}, {Name: "b"}, {Name: "spare", Standby: true}}}}
+}
+
+func moves(effects []upkeep.Effect) (instances []string) {
+	for _, e := range effects {
+		if n, ok := e.(upkeep.Note); ok && n.Event == "move.planned" {
+			instances = append(instances, n.Attrs[1].(string))
+		}
+	}
+	return instances
+}
+
+func orders(effects []upkeep.Effect) (instances []string) {
+	for _, e := range effects {
+		if m, ok := e.(upkeep.Maintain); ok {
+			instances = append(instances, m.Instance)
+		}
+	}
+	return instances
+}
+
+// Guards against demand that waits while instances on standby do nothing, and moves that take what a pool needs.
+func TestDemandDrawsInstances(t *testing.T) {
+	c := qt.New(t)
+	instances := append(append(list("a", 3), list("b", 3)...), list("spare", 2)...)
+	tick := upkeep.Tick{Now: 10 * time.Second, Directory: config(), Instances: instances, Loads: map[string]port.Load{
+		"a": load("a", 3, cores, 5*cores), "b": load("b", 3, cores/2, 0),
+	}}
+	_, effects := upkeep.Step(upkeep.New(nil), tick)
+	c.Assert(moves(effects), qt.DeepEquals, []string{"spare-1", "spare-0"})
+}
+
+// Guards against moves to and fro of a pool that has what it needs.
+func TestCalmPoolsKeepTheirInstances(t *testing.T) {
+	c := qt.New(t)
+	s := upkeep.New(nil)
+	instances := append(append(list("a", 3), list("b", 3)...), list("spare", 2)...)
+	for n := range 20 {
+		var effects []upkeep.Effect
+		s, effects = upkeep.Step(s, upkeep.Tick{
+			Now: time.Duration(n+10) * time.Second, Directory: config(), Instances: instances,
+			Loads: map[string]port.Load{"a": load("a", 3, cores/4, 0), "b": load("b", 3, cores/3, 0)},
+		})
+		c.Assert(moves(effects), qt.HasLen, 0)
+	}
+}
+
+func wave(most int, instances ...string) tenure.Directory {
+	return config().WithWave(site.Wave{Number: 1, Instances: instances, Deadline: 8 * time.Second, Most: most}, 10*time.Second)
+}
+
+// Guards against more instances of a wave down at once than it allows, those that a former owner ordered included.
+func TestWaveKeepsItsMaximum(t *testing.T) {
+	c := qt.New(t)
+	instances := list("a", 4)
+	instances[3].State = site.InstanceUpkeep // ordered by a former owner
+	d := wave(2, "a-0", "a-1", "a-2", "a-3")
+	s := upkeep.New(nil)
+	loads := map[string]port.Load{"a": load("a", 4, 0, 0)}
+	for _, now := range []time.Duration{10, 11, 12} {
+		s, _ = upkeep.Step(s, upkeep.Tick{Now: now * time.Second, Directory: d, Instances: instances, Loads: loads})
+	}
+	_, effects := upkeep.Step(s, upkeep.Emptied{Pool: "a", Executors: []string{"x-a-0", "x-a-1", "x-a-2"}, Until: 13 * time.Second})
+	c.Assert(orders(effects), qt.HasLen, 1)
+}
+
+// Guards against orders for an executor that is not known to be empty any more.
+func TestOldNewsOrdersNothing(t *testing.T) {
+	c := qt.New(t)
+	d := wave(2, "a-0")
+	s := upkeep.New(nil)
+	for _, now := range []time.Duration{10, 12} {
+		s, _ = upkeep.Step(s, upkeep.Tick{Now: now * time.Second, Directory: d, Instances: list("a", 1), Loads: map[string]port.Load{"a": load("a", 1, 0, 0)}})
+	}
+	_, effects := upkeep.Step(s, upkeep.Emptied{Pool: "a", Executors: []string{"x-a-0"}, Until: 11 * time.Second})
+	c.Assert(orders(effects), qt.HasLen, 0)
+}
+
+// Guards against a lost answer that leaves an instance out, and a refused token that is used again.
+func TestOutcomesOfOrders(t *testing.T) {
+	c := qt.New(t)
+	d := wave(1, "a-0")
+	s := upkeep.New(nil)
+	for _, now := range []time.Duration{10, 12} {
+		s, _ = upkeep.Step(s, upkeep.Tick{Now: now * time.Second, Directory: d, Instances: list("a", 1), Loads: map[string]port.Load{"a": load("a", 1, 0, 0)}})
+	}
+	s, effects := upkeep.Step(s, upkeep.Emptied{Pool: "a", Executors: []string{"x-a-0"}, Until: 13 * time.Second})
+	c.Assert(orders(effects), qt.DeepEquals, []string{"a-0"})
+	s, effects = upkeep.Step(s, upkeep.Ordered{Now: 12 * time.Second, Instance: "a-0", Err: errors.New("no answer")})
+	c.Assert(orders(effects), qt.DeepEquals, []string{"a-0"})
+	_, effects = upkeep.Step(s, upkeep.Ordered{Now: 12 * time.Second, Instance: "a-0", Err: port.ErrFenced})
+	c.Assert(effects, qt.DeepEquals, []upkeep.Effect{upkeep.Superseded{Instance: "a-0"}})
+	s, _ = upkeep.Step(s, upkeep.Ordered{Now: 13 * time.Second, Instance: "a-0"})
+	_, effects = upkeep.Step(s, upkeep.Tick{Now: 14 * time.Second, Directory: d, Instances: list("a", 1)})
+	report, ok := effects[0].(upkeep.Report)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(report, qt.DeepEquals, upkeep.Report{Wave: 1, Done: []string{"a-0"}, Completed: true})
+}
