--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -82,13 +82,25 @@
 	if !ok {
 		return false
 	}
-	f := fit{step: step, need: step.Demand(), work: w, job: j, granted: granted, now: t.s.now}
+	f := fit{step: step, need: step.Demand(), work: w, job: j, granted: granted, rack: t.s.rackOf(w), now: t.s.now}
 	if step.Gang {
 		return t.placeGang(hosts, f)
 	}
 	return t.placeTasks(hosts, f)
 }
 
+// rackOf returns the rack on which a task of the work runs, if any does.
+func (s State) rackOf(w work) string {
+	for _, x := range w.tasks {
+		if x.executor != "" && x.phase != waiting && x.phase != done {
+			if e, ok := s.executors.Get(x.executor); ok {
+				return e.info.Rack()
+			}
+		}
+	}
+	return ""
+}
+
 // placeTasks starts the waiting tasks of a work one by one, as far as there is room.
 func (t *turn) placeTasks(hosts []*host, f fit) (started bool) {
 	var on []string
@@ -105,6 +117,7 @@
 			break
 		}
 		t.start(h, f, index, x.run)
+		f.rack = h.e.info.Rack()
 		on = append(on, fmt.Sprintf("%d:%s", index, h.e.info.ID))
 	}
 	if len(on) == 0 {
@@ -130,6 +143,7 @@
 		if h == nil {
 			break
 		}
+		f.rack = h.e.info.Rack()
 		h.free = h.free.Minus(f.need)
 		h.e.runs = append(slices.Clip(h.e.runs), runState{task: job.Task{Job: f.job.sub.ID, Occurrence: f.work.occurrence, Step: f.work.step}})
 		chosen = append(chosen, h)
@@ -154,6 +168,7 @@
 	work    work
 	job     jobState
 	granted map[string]string // executor to ticket; nil when any executor may run the step
+	rack    string            // on which tasks of the work run already
 	now     time.Duration
 }
 
@@ -221,7 +236,7 @@
 	if h.e.slowness > slowExecutor {
 		score += slow
 	}
-	if f.step.OneRack && f.otherRack(h) {
+	if f.step.OneRack && f.rack != "" && h.e.info.Rack() != f.rack {
 		score += elsewhere
 	}
 	if x.failedOn == h.e.info.ID {
@@ -230,16 +245,6 @@
 	return score
 }
 
-// otherRack reports whether tasks of the work run on another rack.
-func (f fit) otherRack(h *host) bool {
-	for _, x := range f.work.tasks {
-		if x.phase != waiting && x.phase != done && x.executor != "" && x.executor != h.e.info.ID {
-			return true
-		}
-	}
-	return false
-}
-
 // start orders a run of a task.
 func (t *turn) start(h *host, f fit, index int, before uint64) {
 	task := job.Task{Job: f.job.sub.ID, Occurrence: f.work.occurrence, Step: f.work.step, Index: index}
--- a/internal/link/pool/doc.go
+++ b/internal/link/pool/doc.go
@@ -1,2 +1,3 @@
-// Package pool runs the pools that this daemon owns: it takes over pools, carries out their decisions and stores them.
+// Package pool runs the duties that this daemon has, pools and the fleet: it takes them over, carries out their
+// decisions and stores them.
 package pool
