Let a former owner give its record up; end epochs of an earlier incarnation

The instance that rendezvous prefers saw a live owner in the record, the owner was not the preferred one: nobody took the service again.

Two tests failed first: TestTickBeforeTheRecordIsSeen and TestOwnerAfterTrouble (a generated history has an owner again after 10 s of calm).

Ruled out: lost denials, whose requests are asked again after the next gather; load, since the order of two messages decides.

--- a/internal/decision/entry/step.go
+++ b/internal/decision/entry/step.go
@@ -118,7 +118,7 @@
 	case message.Listed:
 		t.list(e)
 	case message.Renewed:
-		t.memberStep(member.Renewed{Now: t.now, Until: e.Sent.Add(e.TTL - leaseMargin)})
+		t.memberStep(member.Renewed{Now: t.now, Incarnation: e.Incarnation, Until: e.Sent.Add(e.TTL - leaseMargin)})
 		t.updateStatic()
 	case message.Unanswered:
 		t.unanswered = e.Sent
@@ -222,7 +222,7 @@
 func (t *step) written(m Written) {
 	switch r := m.Write.Record.(type) {
 	case record.Owner:
-		t.memberStep(member.Written{Now: t.now, Service: r.Service, Entry: r.Entry, Epoch: r.Epoch, Err: m.Err})
+		t.memberStep(member.Written{Now: t.now, Owner: r, Err: m.Err})
 	case record.Claim:
 		t.claimWritten(r.Service, m)
 	case record.Segment:
--- a/internal/decision/entry/world_test.go
+++ b/internal/decision/entry/world_test.go
@@ -256,7 +256,7 @@
 		w.put(record.Member{Entry: n.name, Incarnation: fmt.Sprint(n.incarnation)})
 	}
 	w.leases[n.name] = w.now.Add(ttl)
-	w.feed(n, message.Renewed{Sent: w.now, TTL: ttl})
+	w.feed(n, message.Renewed{Incarnation: fmt.Sprint(n.incarnation), Sent: w.now, TTL: ttl})
 }
 
 // call carries out a node's oldest store call; lost drops the response after the call took effect.
--- a/internal/decision/member/message.go
+++ b/internal/decision/member/message.go
@@ -26,8 +26,9 @@
 
 // Renewed brings an answered keep-alive of this entry instance's lease.
 type Renewed struct {
-	Now   time.Time
-	Until time.Time // when the lease can have expired, less the margin
+	Now         time.Time
+	Incarnation string    // that the lease belongs to
+	Until       time.Time // when the lease can have expired, less the margin
 }
 
 // Verified answers a Verify effect; Alive is true when the member record still exists or could not be read.
@@ -40,11 +41,9 @@
 
 // Written reports the end of the write of an owner record.
 type Written struct {
-	Now     time.Time
-	Service string
-	Entry   string // in the written record, empty for a hand-over
-	Epoch   uint64
-	Err     error
+	Now   time.Time
+	Owner record.Owner // its Entry is empty for a hand-over
+	Err   error
 }
 
 // Resign gives up one service, whose claim was written by another owner.
--- a/internal/decision/member/ownership_test.go
+++ b/internal/decision/member/ownership_test.go
@@ -83,7 +83,7 @@
 	m := record.Member{Entry: e.name, Incarnation: fmt.Sprint(e.incarnation)}
 	w.members[e.name] = lease{member: m, expiry: w.now.Add(ttl)}
 	w.publish(message.Changed{Record: m})
-	e.replies = append(e.replies, member.Renewed{Until: w.now.Add(ttl - margin)})
+	e.replies = append(e.replies, member.Renewed{Incarnation: w.members[e.name].member.Incarnation, Until: w.now.Add(ttl - margin)})
 }
 
 // renew answers a keep-alive, or registers again after the lease was lost.
@@ -95,7 +95,7 @@
 	}
 	l.expiry = w.now.Add(ttl)
 	w.members[e.name] = l
-	e.replies = append(e.replies, member.Renewed{Until: w.now.Add(ttl - margin)})
+	e.replies = append(e.replies, member.Renewed{Incarnation: w.members[e.name].member.Incarnation, Until: w.now.Add(ttl - margin)})
 }
 
 func (w *world) pass(d time.Duration) {
@@ -123,7 +123,7 @@
 		alive := fate != 0 || ok && l.member.Incarnation == f.Incarnation
 		e.replies = append(e.replies, member.Verified{Service: f.Service, Epoch: f.Epoch, Alive: alive})
 	case member.Write:
-		reply := member.Written{Service: f.Owner.Service, Entry: f.Owner.Entry, Epoch: f.Owner.Epoch}
+		reply := member.Written{Owner: f.Owner}
 		switch {
 		case fate == 2:
 			reply.Err = errLost
@@ -205,6 +205,64 @@
 	}
 }
 
+// Guards against a service without an owner for good: a former owner that is not the preferred one any more has to
+// give its record up, since the others see that it lives.
+func TestOwnerAfterTrouble(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(3)
+		w.settle()
+		for range rapid.IntRange(50, 250).Draw(t, "steps") {
+			w.act(t, w.entries[rapid.IntRange(0, 2).Draw(t, "entry")])
+		}
+		for _, e := range w.entries {
+			e.paused = false
+		}
+		w.settle()
+		for range 10 { // a hand-over leaves the service without an owner for one round
+			for _, e := range w.entries {
+				w.renew(e)
+				w.drain(e)
+				if _, ok := e.state.Holds(service, w.now); ok {
+					return
+				}
+			}
+			w.pass(100 * time.Millisecond)
+		}
+		t.Fatalf("nobody owns the service after 10 s of calm, the record says %+v", w.owner)
+	})
+}
+
+// Guards against a new epoch that is ended at once because its record, which the watch has not shown yet, seems to
+// name former members.
+func TestTickBeforeTheRecordIsSeen(t *testing.T) {
+	w := newWorld(3)
+	w.settle()
+	i := slices.IndexFunc(w.entries, func(e *entry) bool { return e.name == w.owner.Entry })
+	owner, other := w.entries[i], w.entries[(i+1)%3]
+	delete(w.members, other.name)
+	w.publish(message.Changed{Record: record.Member{Entry: other.name}, Deleted: true})
+	for len(owner.effects) == 0 { // the write of the record without the former member
+		w.pass(100 * time.Millisecond)
+		w.renew(owner)
+		for len(owner.watch) > 0 {
+			w.deliverWatch(owner)
+		}
+		for len(owner.replies) > 0 {
+			w.deliverReply(owner)
+		}
+	}
+	w.apply(owner, 0)
+	w.deliverReply(owner)
+	epoch, ok := owner.state.Holds(service, w.now)
+	if !ok {
+		t.Fatal("the epoch did not begin")
+	}
+	w.step(owner, member.Tick{Now: w.now})
+	if after, ok := owner.state.Holds(service, w.now); !ok || after != epoch {
+		t.Fatalf("epoch %d was ended before its record was seen: now %d, %v", epoch, after, ok)
+	}
+}
+
 func (w *world) act(t *rapid.T, e *entry) {
 	switch rapid.IntRange(0, 13).Draw(t, "action") {
 	case 0, 1:
--- a/internal/decision/member/state.go
+++ b/internal/decision/member/state.go
@@ -29,17 +29,18 @@
 
 // State is the immutable state of the ownership decision of one entry instance.
 type State struct {
-	self     string
-	now      time.Time
-	until    time.Time // the lease may have expired from here on
-	leaving  bool
-	services []string // sorted
-	members  map[string]seen
-	gone     map[string]bool
-	joined   time.Time // when a member last came or went
-	owners   map[string]owned
-	held     map[string]uint64 // epoch by service, for current epochs
-	attempts map[string]attempt
+	self        string
+	now         time.Time
+	until       time.Time // the lease may have expired from here on
+	incarnation string    // that the lease belongs to
+	leaving     bool
+	services    []string // sorted
+	members     map[string]seen
+	gone        map[string]bool
+	joined      time.Time // when a member last came or went
+	owners      map[string]owned
+	held        map[string]uint64 // epoch by service, for current epochs
+	attempts    map[string]attempt
 }
 
 type seen struct {
@@ -54,12 +55,10 @@
 
 // attempt is a takeover or hand-over in progress; nothing else is tried for the service until it ends or retry passes.
 type attempt struct {
-	epoch   uint64
-	phase   phase
-	retry   time.Time
-	shared  []string // members of the owner record before the attempt
-	current []string // members of the record that is written
-	absent  []record.Absent
+	epoch  uint64
+	phase  phase
+	retry  time.Time
+	shared []string // members of the owner record before the attempt
 }
 
 type phase int
@@ -174,6 +173,13 @@
 	return s
 }
 
+// registered says whether the watch has shown the member record of the incarnation whose lease is proved. Others see
+// an owner record that names another incarnation as one of a dead owner.
+func (s State) registered() bool {
+	m, ok := s.members[s.self]
+	return ok && m.member.Incarnation == s.incarnation
+}
+
 // alive says whether the member record of the owner still exists as far as this entry instance has seen.
 func (s State) alive(o record.Owner) bool {
 	m, ok := s.members[o.Entry]
--- a/internal/decision/member/step.go
+++ b/internal/decision/member/step.go
@@ -101,8 +101,8 @@
 		effects = append(effects, Lost{Service: o.Service, Epoch: epoch})
 	}
 	a, ok := s.attempts[o.Service]
-	if ok && a.phase == writing && o.Entry == s.self && o.Epoch == a.epoch {
-		return s.won(o.Service, a.epoch, effects)
+	if ok && a.phase == writing && s.wrote(o) && o.Epoch == a.epoch {
+		return s.won(o, effects)
 	}
 	if ok && o.Epoch >= a.epoch {
 		s = s.withoutAttempt(o.Service)
@@ -110,19 +110,31 @@
 	return s, effects
 }
 
-// won begins an epoch if ownership can still be proved.
-func (s State) won(service string, epoch uint64, effects []Effect) (State, []Effect) {
-	a := s.attempts[service]
-	s = s.withoutAttempt(service)
+// wrote says whether a record names this entry instance in its present incarnation. A record of an earlier one, whose
+// write was carried out late, is taken over by others.
+func (s State) wrote(o record.Owner) bool {
+	return o.Entry == s.self && o.Incarnation == s.incarnation
+}
+
+// won begins the epoch of a record if ownership can still be proved.
+func (s State) won(o record.Owner, effects []Effect) (State, []Effect) {
+	a := s.attempts[o.Service]
+	s = s.withoutAttempt(o.Service)
 	if !s.now.Before(s.until) || s.leaving {
 		return s, effects
 	}
-	s = s.WithHeld(service, epoch)
-	return s, append(effects, Won{Service: service, Epoch: epoch, Shared: a.shared, Current: a.current, Absent: a.absent}, Proved{Until: s.until})
+	s = s.WithHeld(o.Service, o.Epoch)
+	return s, append(effects, Won{Service: o.Service, Epoch: o.Epoch, Shared: a.shared, Current: o.Members, Absent: o.Absent}, Proved{Until: s.until})
 }
 
-// renewed extends the proof; a proof that had lapsed first ends the epochs that relied on it.
+// renewed extends the proof; a proof that had lapsed, or that belonged to an earlier incarnation, first ends the
+// epochs that relied on it.
 func (s State) renewed(m Renewed) (State, []Effect) {
+	if m.Incarnation != s.incarnation {
+		s = s.WithUntil(time.Time{})
+		s.incarnation = m.Incarnation
+		s.attempts = map[string]attempt{}
+	}
 	s, effects := s.lapse(nil)
 	if m.Until.After(s.until) {
 		s = s.WithUntil(m.Until)
@@ -134,10 +146,18 @@
 }
 
 // lapse ends every epoch once the proof is over; the services must be taken over again with a higher epoch.
+//
+// An epoch whose record is being written does not begin any more: its answer may arrive after another owner has
+// seen the lease expire and this entry instance has a new one.
 func (s State) lapse(effects []Effect) (State, []Effect) {
 	if s.now.Before(s.until) {
 		return s, effects
 	}
+	for service, a := range s.attempts {
+		if a.phase == writing {
+			s = s.withoutAttempt(service)
+		}
+	}
 	for _, service := range s.services {
 		if epoch, ok := s.held[service]; ok {
 			s = s.WithoutHeld(service)
@@ -162,7 +182,7 @@
 	if !ok || a.phase != verifying || a.epoch != m.Epoch+1 {
 		return s, nil
 	}
-	if m.Alive {
+	if m.Alive || !s.registered() {
 		a.phase = waiting
 		a.retry = s.now.Add(retryAfter)
 		return s.withAttempt(m.Service, a), nil
@@ -177,32 +197,33 @@
 	if entry != "" {
 		next.Incarnation = s.members[entry].member.Incarnation
 	}
-	s = s.withAttempt(service, attempt{epoch: epoch, phase: writing, shared: last.owner.Members, current: next.Members, absent: next.Absent})
+	s = s.withAttempt(service, attempt{epoch: epoch, phase: writing, shared: last.owner.Members})
 	return s, []Effect{Write{Owner: next, Expected: last.revision}}
 }
 
 // written ends an attempt whose write failed; a successful one ends when the watch shows the record,
 // or here when the response comes first.
 func (s State) written(m Written) (State, []Effect) {
-	a, ok := s.attempts[m.Service]
-	if !ok || a.epoch != m.Epoch || a.phase != writing {
+	service := m.Owner.Service
+	a, ok := s.attempts[service]
+	if !ok || a.epoch != m.Owner.Epoch || a.phase != writing || m.Owner.Entry != "" && !s.wrote(m.Owner) {
 		return s, nil
 	}
 	if m.Err != nil {
 		a.phase = waiting
 		a.retry = s.now.Add(retryAfter)
-		return s.withAttempt(m.Service, a), nil
+		return s.withAttempt(service, a), nil
 	}
-	if m.Entry == "" {
-		return s.withoutAttempt(m.Service), nil
+	if m.Owner.Entry == "" {
+		return s.withoutAttempt(service), nil
 	}
-	return s.won(m.Service, m.Epoch, nil)
+	return s.won(m.Owner, nil)
 }
 
 // advance ends lapsed epochs and starts at most one attempt for each service.
 func (s State) advance(effects []Effect) (State, []Effect) {
 	s, effects = s.lapse(effects)
-	if _, registered := s.members[s.self]; !registered || !s.now.Before(s.until) {
+	if !s.registered() || !s.now.Before(s.until) {
 		return s, effects
 	}
 	for _, service := range s.services {
@@ -213,7 +234,8 @@
 	return s, effects
 }
 
-// consider starts a takeover of a service without a live owner, or hands one over to its preferred owner.
+// consider starts a takeover of a service without a live owner, hands one over to its preferred owner, or gives a
+// record up that names this entry instance although it no longer holds the service.
 func (s State) consider(service string) (State, []Effect) {
 	if a, ok := s.attempts[service]; ok && (a.phase != waiting || s.now.Before(a.retry)) {
 		return s, nil
@@ -222,16 +244,21 @@
 	if epoch, ok := s.held[service]; ok {
 		return s.review(service, epoch)
 	}
-	if s.leaving || s.preferred(service) != s.self {
-		return s, nil
-	}
 	last, exists := s.owners[service]
+	mine := !s.leaving && s.preferred(service) == s.self
+	if exists && last.owner.Entry == s.self && s.alive(last.owner) {
+		// Only this process can hold the record's incarnation, and it no longer does: the others wait for its word.
+		next := ""
+		if mine {
+			next = s.self
+		}
+		return s.write(service, last.owner.Epoch+1, next)
+	}
 	switch {
+	case !mine:
+		return s, nil
 	case !exists, last.owner.Entry == "":
 		return s.write(service, last.owner.Epoch+1, s.self)
-	case last.owner.Entry == s.self && s.alive(last.owner):
-		// Only this process can hold the record's incarnation, and it no longer does.
-		return s.write(service, last.owner.Epoch+1, s.self)
 	case s.alive(last.owner):
 		return s, nil
 	}
@@ -247,6 +274,9 @@
 // review gives a held service up when leaving or when its preferred owner has been a member for a while,
 // and begins a new epoch when the record names other members than there are.
 func (s State) review(service string, epoch uint64) (State, []Effect) {
+	if s.owners[service].owner.Epoch != epoch {
+		return s, nil // the watch has not shown this epoch's record, which the next one is written over
+	}
 	to := s.preferred(service)
 	settled := to != "" && to != s.self && s.now.Sub(s.members[to].since) >= settleTime
 	switch {
--- a/internal/proof/process/failure_test.go
+++ b/internal/proof/process/failure_test.go
@@ -27,6 +27,7 @@
 	bin     = flag.String("bin", "", "directory of the binaries; they are built when it is empty")
 	verbose = flag.Bool("calls", false, "print every call that was not answered")
 	full    = flag.Bool("full", false, "run every failure, not only the first")
+	logs    = flag.String("logs", "", "directory that keeps settings and logs; a temporary one when it is empty")
 )
 
 // scenario is one failure while a load runs.
@@ -69,6 +70,17 @@
 	return dir
 }
 
+// logDir returns where the processes of a scenario write their logs.
+func logDir(c *qt.C, scenario string) string {
+	if *logs == "" {
+		return c.TempDir()
+	}
+	path, err := filepath.Abs(filepath.Join(*logs, scenario))
+	c.Assert(err, qt.IsNil)
+	c.Assert(os.MkdirAll(path, 0o700), qt.IsNil)
+	return path
+}
+
 var scenarios = []scenario{
 	{name: "owner-killed", strike: func(f *fixture) {
 		f.replace(6 * time.Second)
@@ -223,7 +235,7 @@
 
 func runScenario(c *qt.C, s scenario, dir string) {
 	ctx := context.Background()
-	system, err := process.Start(ctx, process.Options{Entries: 4, Services: 2, Executors: 4, Run: 20, Bin: dir, Dir: c.TempDir()})
+	system, err := process.Start(ctx, process.Options{Entries: 4, Services: 2, Executors: 4, Run: 20, Bin: dir, Dir: logDir(c, s.name)})
 	if system != nil {
 		c.Cleanup(system.Close)
 	}
