Move instances as soon as a fleet has an owner; keep lasting tasks together

A new owner of the fleet treated every instance as just arrived and moved none for 3 s, and lasting tasks were spread over all executors, each of which had to be emptied before its instance could move; they were not counted as lasting unless they serve users or fill.

Change: the instances of an owner's first list count as settled; lasting tasks without users of their own go beside others that last; the load counts them, so that moves take instances without any; the fleet is looked at every 120 ms.

Tests that failed first: TestNewOwnerMovesInstancesAtOnce, TestLastingTasksShareExecutors.

--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -21,6 +21,7 @@
 	pace     int
 	figure   float64
 	paceAsk  time.Duration
+	lasts    bool
 	serves   bool
 	filler   bool
 	target   time.Duration
@@ -106,3 +107,14 @@
 	}
 	return !slices.ContainsFunc(e.runs, func(r runState) bool { return r.stray })
 }
+
+// lasting counts the runs that last.
+func (e executorState) lasting() int {
+	n := 0
+	for _, r := range e.runs {
+		if r.lasts {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -230,8 +230,10 @@
 	switch {
 	case f.step.Filler:
 		score = -left.CPU + int64(len(h.e.runs))<<16
-	case f.step.Lasting:
+	case f.step.Serves(): // the emptiest one, since all load lengthens its tail
 		score = -left.CPU + int64(f.siblings(h))<<20
+	case f.step.Lasting: // beside others that last, so that few instances have to be emptied before they can move
+		score += int64(f.siblings(h))<<20 - int64(h.e.lasting())<<24
 	}
 	if h.e.slowness > slowExecutor {
 		score += slow
@@ -258,7 +260,7 @@
 	e.expires = max(e.expires, s.Expires)
 	e = e.withRun(runState{
 		task: task, run: run, need: f.need, phase: starting, since: t.s.now, known: t.s.now, pace: 100,
-		serves: f.step.Serves(), filler: f.step.Filler, target: f.step.Target, expected: f.step.Estimate,
+		lasts: f.step.Lasting, serves: f.step.Serves(), filler: f.step.Filler, target: f.step.Target, expected: f.step.Estimate,
 	})
 	t.s = t.s.withExecutor(e)
 	h.e, h.free = e, h.free.Minus(f.need)
--- a/internal/decision/schedule/place_test.go
+++ b/internal/decision/schedule/place_test.go
@@ -37,6 +37,32 @@
 	return on
 }
 
+// Guards against lasting tasks that keep many instances from moving to another pool, since each has to be emptied first.
+func TestLastingTasksShareExecutors(t *testing.T) {
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 0)
+		for i := range 4 {
+			w.add(fmt.Sprintf("x%d", i))
+		}
+		w.advance(3 * time.Second)
+		for i := range 3 {
+			id := job.ID(fmt.Sprintf("000000000000000%d", i))
+			w.submit(w.current(), job.Submission{ID: id, Queue: "q", Spec: "s", Steps: []job.Step{{
+				Count: 2, Need: job.Resources{CPU: 100}, Estimate: time.Minute, Lasting: true, Spread: 1,
+			}}})
+			w.advance(time.Second)
+		}
+		used := 0
+		for _, x := range w.current().state.Load().Executors {
+			if x.Lasting > 0 {
+				used++
+			}
+		}
+		c.Check(used, qt.Equals, 2)
+	})
+}
+
 // Guards against tasks that are spread over racks although that makes them slow, and against too many on one executor.
 func TestPlacement(t *testing.T) {
 	c := qt.New(t)
--- a/internal/decision/schedule/reconcile.go
+++ b/internal/decision/schedule/reconcile.go
@@ -93,6 +93,7 @@
 		return t.stop(e, len(e.runs)-1)
 	}
 	step := j.sub.Steps[a.Task.Step]
+	r.lasts = step.Lasting
 	r.need, r.serves, r.filler, r.target = step.Demand(), step.Serves(), step.Filler, step.Target
 	e = e.withRun(r)
 	if x.phase != waiting || a.Run < x.run || j.state.Final() || j.outcome.Final() {
--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -66,7 +66,7 @@
 	s.each(func(e executorState) {
 		x := port.ExecutorLoad{CPU: e.taken.CPU, Runs: len(e.runs), Usable: e.usable(s.now, s.confirmed)}
 		for _, r := range e.runs {
-			if r.serves || r.filler {
+			if r.lasts {
 				x.Lasting++
 			}
 		}
--- a/internal/decision/schedule/world_test.go
+++ b/internal/decision/schedule/world_test.go
@@ -352,6 +352,9 @@
 		how = job.EndFailed
 	}
 	length := time.Duration(rapid.IntRange(50, 3000).Draw(w.t, "length")) * time.Millisecond
+	if w.jobs[s.Task.Job].sub.Steps[s.Task.Step].Lasting {
+		how, length = job.EndStopped, 24*time.Hour // until it is stopped
+	}
 	x.runs[s.Task] = run{number: s.Run, ends: w.now + length, how: how}
 	x.highest[s.Task] = max(x.highest[s.Task], s.Run)
 	w.starts++
--- a/internal/decision/upkeep/step.go
+++ b/internal/decision/upkeep/step.go
@@ -69,8 +69,12 @@
 		s.instances[i.Name] = i
 	}
 	arrived := make(map[string]time.Duration, len(instances))
+	since := s.now
+	if s.listed == 0 {
+		since = -stay // those of the first list may have been there for long
+	}
 	for _, i := range instances {
-		arrived[i.Executor] = s.now
+		arrived[i.Executor] = since
 		if before, ok := s.arrived[i.Executor]; ok {
 			arrived[i.Executor] = before
 		}
--- a/internal/decision/upkeep/upkeep_test.go
+++ b/internal/decision/upkeep/upkeep_test.go
@@ -69,6 +69,16 @@
 	c.Assert(moves(effects), qt.DeepEquals, []string{"spare-1", "spare-0"})
 }
 
+// Guards against a surge that waits until a new owner of the fleet has seen the other pools' instances for a while.
+func TestNewOwnerMovesInstancesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	instances := append(list("a", 3), list("b", 8)...)
+	_, effects := upkeep.Step(upkeep.New(nil), upkeep.Tick{Now: time.Minute, Directory: config(), Instances: instances, Loads: map[string]port.Load{
+		"a": load("a", 3, cores, 5*cores), "b": load("b", 8, 0, 0),
+	}})
+	c.Assert(moves(effects), qt.HasLen, 6) // two are left to their pool
+}
+
 // Guards against moves to and fro of a pool that has what it needs.
 func TestCalmPoolsKeepTheirInstances(t *testing.T) {
 	c := qt.New(t)
--- a/internal/link/pool/fleet.go
+++ b/internal/link/pool/fleet.go
@@ -21,7 +21,7 @@
 
 // Times of the fleet's duty.
 const (
-	fleetEvery   = 250 * time.Millisecond // between two looks at the loads of the pools
+	fleetEvery   = 120 * time.Millisecond // between two looks at the loads of the pools
 	listTimeout  = 900 * time.Millisecond
 	loadTimeout  = 200 * time.Millisecond
 	vacateFor    = 1200 * time.Millisecond // that a pool's owner keeps executors empty after each call
