--- a/internal/decision/claim/claim.go
+++ b/internal/decision/claim/claim.go
@@ -31,7 +31,8 @@
 	Self      tenure.Member
 	Member    time.Duration // since when this daemon is a member
 	StoreLost bool
-	StoreBack time.Duration // when the store last came back, 0 if it was never away
+	StoreBack time.Duration   // when the store last came back, 0 if it was never away
+	Held      map[string]bool // duties that this daemon has or is taking over
 	Directory tenure.Directory
 }
 
@@ -50,17 +51,22 @@
 	return duties
 }
 
-// Decide returns the duties that this daemon claims now.
+// Decide returns the duties that this daemon claims now: those without a live owner, when it is its turn, and those
+// whose record names it although it does not have them, since the answer to its write was lost.
 func Decide(o Orphans, in Input) (Orphans, []string) {
 	orphans := map[string]time.Duration{}
 	if !in.Directory.Listed || in.StoreLost || in.Now-in.Member < Settle {
 		return Orphans{since: orphans}, nil
 	}
 	load := map[string]int{}
-	var free []string
+	var free, mine []string
 	for _, duty := range Duties(in.Directory) {
-		if owner, ok := in.Directory.Live(duty); ok && !in.Directory.Members[owner.Name].Leaving {
+		owner, ok := in.Directory.Live(duty)
+		if ok && !in.Directory.Members[owner.Name].Leaving {
 			load[owner.Name]++
+			if owner.Name == in.Self.Name && !in.Held[duty] {
+				mine = append(mine, duty)
+			}
 			continue
 		}
 		free = append(free, duty)
@@ -70,7 +76,7 @@
 		}
 		orphans[duty] = since
 	}
-	var claims []string
+	claims := mine // the others see a live owner, so that nobody else takes them
 	for _, duty := range free {
 		order := candidates(in.Directory, duty, load)
 		turn := slices.Index(order, in.Self.Name)
--- a/internal/decision/claim/claim_test.go
+++ b/internal/decision/claim/claim_test.go
@@ -26,7 +26,10 @@
 func claims(d tenure.Directory, now time.Duration, change func(*claim.Input)) map[string][]string {
 	out := map[string][]string{}
 	for name, m := range d.Members {
-		in := claim.Input{Now: now, Self: m, Member: time.Second, Directory: d}
+		in := claim.Input{Now: now, Self: m, Member: time.Second, Directory: d, Held: map[string]bool{}}
+		for duty, o := range d.Owners {
+			in.Held[duty] = o.Name == name // each has what its record says
+		}
 		if change != nil {
 			change(&in)
 		}
@@ -51,6 +54,19 @@
 	c.Assert(seen, qt.DeepEquals, map[string]int{tenure.Fleet: 1, "a": 1, "b": 1})
 }
 
+// Guards against a duty that nobody has for good: the record names a live daemon that does not have it, since the
+// answer to its write was lost.
+func TestRecordWithoutDuty(t *testing.T) {
+	c := qt.New(t)
+	m1, m2 := tenure.Member{Name: "m1", Power: 400, Start: 7}, tenure.Member{Name: "m2", Power: 400, Start: 8}
+	d := directory(m1, m2).WithOwner(tenure.Owner{Duty: "a", Name: "m1", Start: 7, Epoch: 1}).
+		WithOwner(tenure.Owner{Duty: "b", Name: "m2", Start: 8, Epoch: 1}).WithOwner(tenure.Owner{Duty: tenure.Fleet, Name: "m2", Start: 8, Epoch: 1})
+	held := func(in *claim.Input) { in.Held = map[string]bool{"b": true, tenure.Fleet: true} }
+	c.Assert(claims(d, 10*time.Second, held), qt.DeepEquals, map[string][]string{"m1": {"a"}})
+	held = func(in *claim.Input) { in.Held = map[string]bool{"a": true, "b": true, tenure.Fleet: true} }
+	c.Assert(claims(d, 10*time.Second, held), qt.DeepEquals, map[string][]string{})
+}
+
 // Guards against duties at a machine that has too little processor time for them.
 func TestStrongestMachineOwns(t *testing.T) {
 	c := qt.New(t)
--- a/internal/decision/upkeep/balance.go
+++ b/internal/decision/upkeep/balance.go
@@ -184,7 +184,7 @@
 // account sums up one pool.
 func (s *State) account(pool string, list []site.Instance, load port.Load) *account {
 	a := &account{pool: pool}
-	var capacity, largest int64
+	var capacity int64
 	for _, i := range list {
 		_, visited := s.visits[i.Name]
 		x, reports := load.Executors[i.Executor]
@@ -193,7 +193,6 @@
 		}
 		a.size++
 		capacity += i.Capacity.CPU
-		largest = max(largest, i.Capacity.CPU)
 		if x.Lasting == 0 && s.now-s.arrived[i.Executor] > stay {
 			a.spare = append(a.spare, i)
 		}
@@ -208,8 +207,18 @@
 	})
 	d := s.pools[pool].withLoad(load, capacity, s.now)
 	s.pools[pool] = d
-	if largest > 0 {
+	if largest := s.largest(); largest > 0 {
 		a.need = int(math.Ceil(d.wanted(s.now) / float64(largest)))
 	}
 	return a
 }
+
+// largest returns the processors of the largest instance of the site, in thousandths of a core. A pool may have no
+// usable instance of its own.
+func (s State) largest() int64 {
+	var most int64
+	for _, i := range s.instances {
+		most = max(most, i.Capacity.CPU)
+	}
+	return most
+}
--- a/internal/decision/upkeep/step.go
+++ b/internal/decision/upkeep/step.go
@@ -21,6 +21,7 @@
 	haste   = 0.6                     // share of the time until the deadline that a wave is planned to take
 	vanish  = 3 * time.Second         // after which an instance that is not listed has left
 	settle  = 1500 * time.Millisecond // after a takeover, in which the last orders of the former owner show in the list
+	noLeave = 4 * time.Second         // after which an instance that is up has not left: a former owner's order was carried out before
 	tooLong = 12 * time.Second        // after which an instance that cannot be emptied lets another one go first
 )
 
@@ -83,7 +84,8 @@
 	for name, v := range s.visits {
 		i, ok := s.instances[name]
 		back := ok && i.State == site.InstanceUp && (i.Executor != v.executor || i.Executor == "")
-		if v.stage == away && (back && s.now-v.since > time.Second || !ok) {
+		stayed := ok && i.State == site.InstanceUp && s.now-v.since > noLeave
+		if v.stage == away && (back && s.now-v.since > time.Second || stayed || !ok) {
 			s = s.withoutVisit(name)
 		}
 	}
@@ -116,14 +118,20 @@
 		return s, out
 	}
 	room := s.atOnce(w, len(open)) - s.visiting(w.Number)
+	left, emptied := s.usable(m)
 	for _, name := range s.order(open, m) {
 		if room <= 0 {
 			break
 		}
+		i := s.instances[name]
 		if _, ok := s.visits[name]; ok {
 			continue
 		}
-		i := s.instances[name]
+		if n, ok := left[i.Pool]; ok && n <= keepSpare && emptied[i.Pool] > 0 {
+			continue // what runs on it has to go somewhere; balance brings other instances when there is demand
+		}
+		left[i.Pool]--
+		emptied[i.Pool]++
 		s = s.withVisit(name, visit{purpose: maintenance{wave: w.Number}, stage: vacating, since: s.now, executor: i.Executor})
 		out = append(out, Note{Level: slog.LevelInfo, Event: "upkeep.planned", Attrs: []any{"instance", name, "wave", w.Number, "pool", i.Pool, "left", len(open)}})
 		room--
@@ -131,6 +139,28 @@
 	return s, out
 }
 
+// usable counts the executors of each working pool that take tasks, and those that are being emptied or are away.
+func (s State) usable(m Tick) (left, emptied map[string]int) {
+	left, emptied = map[string]int{}, map[string]int{}
+	for _, i := range s.instances {
+		load, ok := m.Loads[i.Pool]
+		if !ok {
+			continue
+		}
+		_, visited := s.visits[i.Name]
+		left[i.Pool] += count(!visited && load.Executors[i.Executor].Usable)
+		emptied[i.Pool] += count(visited)
+	}
+	return left, emptied
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // left returns the instances of a wave that have not had their upkeep; one that has left the site does not count.
 func (s State) left(w tenure.DeclaredWave) (State, []string) {
 	var open []string
--- a/internal/decision/upkeep/upkeep_test.go
+++ b/internal/decision/upkeep/upkeep_test.go
@@ -79,6 +79,58 @@
 	c.Assert(moves(effects), qt.HasLen, 6) // two are left to their pool
 }
 
+// Guards against a pool without a usable executor whose tasks wait although there are instances on standby.
+func TestPoolWithoutExecutorsGetsSome(t *testing.T) {
+	c := qt.New(t)
+	instances := append(list("b", 3), list("spare", 2)...)
+	_, effects := upkeep.Step(upkeep.New(nil), upkeep.Tick{Now: time.Minute, Directory: config(), Instances: instances, Loads: map[string]port.Load{
+		"a": {Backlog: 3 * cores}, "b": load("b", 3, cores, 0),
+	}})
+	c.Assert(moves(effects), qt.DeepEquals, []string{"spare-1", "spare-0"})
+}
+
+// Guards against a wave that empties every executor of a pool at the same time, so that nothing runs there and what
+// lasts has nowhere to go.
+func TestWaveLeavesExecutorsToThePool(t *testing.T) {
+	c := qt.New(t)
+	loads := map[string]port.Load{"a": load("a", 4, cores/4, 0)}
+	_, effects := upkeep.Step(upkeep.New(nil), upkeep.Tick{
+		Now: 10 * time.Second, Directory: wave(4, "a-0", "a-1", "a-2", "a-3"), Instances: list("a", 4), Loads: loads,
+	})
+	planned := 0
+	for _, e := range effects {
+		if n, ok := e.(upkeep.Note); ok && n.Event == "upkeep.planned" {
+			planned++
+		}
+	}
+	c.Assert(planned, qt.Equals, 2)
+}
+
+// Guards against a wave that waits for good for an instance whose upkeep a former owner had ordered: the order is
+// answered as done, and the instance does not go away again.
+func TestUpkeepThatWasDoneBefore(t *testing.T) {
+	c := qt.New(t)
+	d := wave(1, "a-0", "a-1")
+	tick := func(s upkeep.State, now time.Duration) (upkeep.State, []upkeep.Effect) {
+		return upkeep.Step(s, upkeep.Tick{Now: now, Directory: d, Instances: list("a", 2), Loads: map[string]port.Load{"a": load("a", 2, 0, 0)}})
+	}
+	s, _ := tick(upkeep.New(nil), 10*time.Second)
+	s, _ = tick(s, 12*time.Second)
+	s, effects := upkeep.Step(s, upkeep.Emptied{Pool: "a", Executors: []string{"x-a-0", "x-a-1"}, Until: 13 * time.Second})
+	c.Assert(orders(effects), qt.HasLen, 1)
+	s, _ = upkeep.Step(s, upkeep.Ordered{Now: 12 * time.Second, Instance: orders(effects)[0]})
+	planned := 0
+	for now := 13 * time.Second; now < 20*time.Second; now += 200 * time.Millisecond {
+		s, effects = tick(s, now)
+		for _, e := range effects {
+			if n, ok := e.(upkeep.Note); ok && n.Event == "upkeep.planned" {
+				planned++
+			}
+		}
+	}
+	c.Assert(planned, qt.Equals, 1, qt.Commentf("the second instance"))
+}
+
 // Guards against moves to and fro of a pool that has what it needs.
 func TestCalmPoolsKeepTheirInstances(t *testing.T) {
 	c := qt.New(t)
--- a/internal/link/pool/fleet.go
+++ b/internal/link/pool/fleet.go
@@ -45,6 +45,7 @@
 	context   context.Context
 	cancel    context.CancelFunc
 	ended     chan struct{}
+	unknown   map[string]string // the last error of a call about a pool, which is logged once
 }
 
 // takeFleet takes the fleet over and reads which instances have had their upkeep.
@@ -53,13 +54,13 @@
 	if !ok {
 		return nil, errors.New("no plug-in provides the instance list")
 	}
-	t, err := l.takeOver(call, duty, self)
+	t, w, err := l.takeOver(call, duty, self, directory.Directory().Owners[duty].Epoch)
 	if err != nil {
 		return nil, err
 	}
-	items, _, err := t.store.List(call, prefixWave)
+	items, err := list(call, t.store, prefixWave)
 	if err != nil {
-		return nil, fmt.Errorf("read waves: %w", err)
+		return nil, err
 	}
 	done := map[int64][]string{}
 	for _, i := range items {
@@ -72,7 +73,7 @@
 		}
 	}
 	f := &fleet{
-		tenancy: t, link: l, directory: directory, instances: instances, writer: t.writer(), ended: make(chan struct{}),
+		tenancy: t, link: l, directory: directory, instances: instances, writer: w, unknown: map[string]string{}, ended: make(chan struct{}),
 		outcomes: ring.New[upkeep.Ordered]("fleet.outcomes", outcomes, ring.Block, l.host.Metrics),
 	}
 	s := upkeep.New(done)
@@ -112,7 +113,7 @@
 		if d.Config != nil {
 			var err error
 			instances, err = f.list(ctx)
-			if err != nil && ctx.Err() == nil {
+			if f.failed("list", err) && ctx.Err() == nil {
 				f.link.log.Info("instance list was not read", "event", "fleet.list", "error", err)
 			}
 			f.step(ctx, upkeep.Tick{Now: clock.Boot(), Directory: d, Instances: instances, Loads: f.loads(ctx, d)})
@@ -121,6 +122,17 @@
 	}
 }
 
+// failed reports whether a call fails in another way than the last one of its kind.
+func (f *fleet) failed(call string, err error) bool {
+	if err == nil {
+		delete(f.unknown, call)
+		return false
+	}
+	before := f.unknown[call]
+	f.unknown[call] = err.Error()
+	return before != err.Error()
+}
+
 func (f *fleet) list(ctx context.Context) ([]site.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -151,11 +163,12 @@
 		call, cancel := context.WithTimeout(ctx, loadTimeout)
 		load, err := j.Load(call)
 		cancel()
-		if err != nil {
+		if f.failed("load "+p.Name, err) {
 			f.link.log.Info("load of a pool is unknown", "event", "fleet.load", "pool", p.Name, "error", err)
-			continue
 		}
-		loads[p.Name] = load
+		if err == nil {
+			loads[p.Name] = load
+		}
 	}
 	return loads
 }
@@ -197,8 +210,10 @@
 	call, cancel := context.WithTimeout(ctx, loadTimeout)
 	empty, err := j.Vacate(call, e.Executors, vacateFor)
 	cancel()
-	if err != nil {
+	if f.failed("vacate "+e.Pool, err) {
 		f.link.log.Info("executors were not emptied", "event", "fleet.vacate", "pool", e.Pool, "executors", len(e.Executors), "error", err)
+	}
+	if err != nil {
 		return
 	}
 	f.step(ctx, upkeep.Emptied{Pool: e.Pool, Executors: empty, Until: now + vacateFor - vacateMargin})
--- a/internal/link/pool/link.go
+++ b/internal/link/pool/link.go
@@ -140,7 +140,8 @@
 		lost, back := directory.Lost()
 		var claims []string
 		orphans, claims = claim.Decide(orphans, claim.Input{
-			Now: clock.Boot(), Self: self, Member: member, StoreLost: lost != 0, StoreBack: back, Directory: directory.Directory(),
+			Now: clock.Boot(), Self: self, Member: member, StoreLost: lost != 0, StoreBack: back,
+			Held: l.held(claiming), Directory: directory.Directory(),
 		})
 		for _, duty := range claims {
 			if claiming[duty] || l.owns(duty) {
@@ -152,6 +153,17 @@
 	}
 }
 
+// held returns the duties that this process has or is taking over.
+func (l *link) held(claiming map[string]bool) map[string]bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	held := maps.Clone(claiming)
+	for duty := range l.tenants {
+		held[duty] = true
+	}
+	return held
+}
+
 func (l *link) owns(duty string) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/link/pool/owner.go
+++ b/internal/link/pool/owner.go
@@ -53,13 +53,13 @@
 	executors map[string]site.Executor
 }
 
-func newOwner(ctx context.Context, l *link, t tenancy, s schedule.State, first []schedule.Effect) *owner {
+func newOwner(ctx context.Context, l *link, t tenancy, w writer, s schedule.State, first []schedule.Effect) *owner {
 	o := &owner{
 		link: l, tenancy: t, first: first,
 		messages: ring.New[schedule.Message]("pool.messages", messageCapacity, ring.Refuse, l.host.Metrics),
 		commits:  ring.New[schedule.Commit]("pool.commits", 1, ring.Block, l.host.Metrics),
 		advice:   ring.New[schedule.Advise]("pool.advice", adviceCapacity, ring.Refuse, l.host.Metrics),
-		writer:   t.writer(),
+		writer:   w,
 		ended:    make(chan struct{}), channels: map[string]*channel{}, replies: map[uint64]*ring.Ring[schedule.Answer]{},
 	}
 	o.context, o.cancel = context.WithCancel(ctx)
--- a/internal/link/pool/takeover.go
+++ b/internal/link/pool/takeover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"teaselloft/internal/core/clock"
@@ -18,51 +19,77 @@
 
 // tenancy is a duty that this process has, under an epoch of its own.
 type tenancy struct {
-	duty     string
-	epoch    uint64
-	revision int64 // of the chain record
-	self     tenure.Member
-	store    port.Store
+	duty  string
+	epoch uint64
+	self  tenure.Member
+	store port.Store
+}
+
+// Times of the reads of a takeover. A connection that went silent costs one attempt, not the whole takeover.
+const (
+	readTimeout = 500 * time.Millisecond // of the first attempt; each further one has twice as long
+	readLongest = 1500 * time.Millisecond
+)
+
+// errBehind is returned when another daemon has taken a duty that the directory still shows as free.
+var errBehind = errors.New("directory is behind the store")
+
+// read repeats a read until it is answered or the takeover's time is over.
+func read[T any](ctx context.Context, call func(ctx context.Context) (T, error)) (T, error) {
+	for timeout := readTimeout; ; timeout = min(2*timeout, readLongest) {
+		attempt, cancel := context.WithTimeout(ctx, timeout)
+		v, err := call(attempt)
+		late := attempt.Err() != nil
+		cancel()
+		if !late || ctx.Err() != nil {
+			return v, err
+		}
+	}
 }
 
 // takeOver writes a new epoch of a duty, which ends all writes of the former owner.
-func (l *link) takeOver(ctx context.Context, duty string, self tenure.Member) (tenancy, error) {
+func (l *link) takeOver(ctx context.Context, duty string, self tenure.Member, known uint64) (tenancy, writer, error) {
 	store, ok := kernel.Use[port.Store](l.host)
 	if !ok {
-		return tenancy{}, errors.New("no plug-in provides a store")
+		return tenancy{}, writer{}, errors.New("no plug-in provides a store")
 	}
 	chain, revision, err := readChain(ctx, store, duty)
 	if err != nil {
-		return tenancy{}, err
+		return tenancy{}, writer{}, err
+	}
+	if chain.Epoch != known {
+		return tenancy{}, writer{}, fmt.Errorf("%w: epoch %d of %s, not %d", errBehind, chain.Epoch, chain.Name, known)
 	}
 	epoch := chain.Epoch + 1
 	next := tenure.Chain{Epoch: epoch, Name: self.Name, Start: self.Start}
 	record := tenure.Owner{Duty: duty, Name: self.Name, Start: self.Start, Address: self.Address, Epoch: epoch}
-	revision, err = store.Apply(ctx, port.Change{
-		Conditions: []port.Condition{{Key: tenure.PrefixChain + duty, Revision: revision}},
-		Writes: []port.Write{
-			{Key: tenure.PrefixChain + duty, Value: job.Encode(next)},
-			{Key: tenure.PrefixOwner + duty, Value: job.Encode(record)},
-		},
-	})
-	if err != nil {
-		// A write whose answer is lost may still take effect; the next attempt then starts from its epoch.
-		return tenancy{}, fmt.Errorf("write epoch %d: %w", epoch, err)
+	w := writer{store: store, key: tenure.PrefixChain + duty, revision: revision, chain: chain}
+	c := schedule.Commit{Writes: []port.Write{{Key: tenure.PrefixOwner + duty, Value: job.Encode(record)}}}
+	if err := w.put(ctx, next, c, l.log, func() {}); err != nil {
+		// It may still take effect; the record then names this daemon, which claims the duty again.
+		return tenancy{}, writer{}, fmt.Errorf("write epoch %d: %w", epoch, err)
 	}
-	return tenancy{duty: duty, epoch: epoch, revision: revision, self: self, store: store}, nil
+	return tenancy{duty: duty, epoch: epoch, self: self, store: store}, w, nil
 }
 
 // takePool takes a pool over and reads what its former owner has stored.
 func (l *link) takePool(call, ctx context.Context, pool string, self tenure.Member, directory port.Directory) (tenant, error) {
-	t, err := l.takeOver(call, pool, self)
+	t, w, err := l.takeOver(call, pool, self, directory.Directory().Owners[pool].Epoch)
 	if err != nil {
 		return nil, err
 	}
-	stored, err := readJobs(call, t.store, pool)
-	if err != nil {
+	var reads sync.WaitGroup
+	var jobs, marks []port.Item
+	var executors []site.Executor
+	var failed [3]error
+	reads.Go(func() { jobs, failed[0] = list(call, t.store, job.PrefixJob+pool+"/") })
+	reads.Go(func() { marks, failed[1] = list(call, t.store, job.PrefixProgress+pool+"/") })
+	reads.Go(func() { executors, failed[2] = l.listed(call, t.store, pool) })
+	reads.Wait()
+	if err := errors.Join(failed[:]...); err != nil {
 		return nil, err
 	}
-	executors, err := l.listed(call, t.store, pool)
+	stored, err := decodeJobs(pool, jobs, marks)
 	if err != nil {
 		return nil, err
 	}
@@ -71,7 +98,19 @@
 	s := schedule.New(pool, t.epoch, schedule.DefaultPolicy(l.settings.Lease.Value()), now, time.Now().UnixMilli())
 	_, gone := d.Of(pool, now)
 	state, effects := schedule.Recover(s, d.Config, stored, append(executors, gone...))
-	return newOwner(ctx, l, t, state, effects), nil
+	return newOwner(ctx, l, t, w, state, effects), nil
+}
+
+// list reads the items under a prefix.
+func list(ctx context.Context, store port.Store, prefix string) ([]port.Item, error) {
+	items, err := read(ctx, func(ctx context.Context) ([]port.Item, error) {
+		items, _, err := store.List(ctx, prefix)
+		return items, err
+	})
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", prefix, err)
+	}
+	return items, nil
 }
 
 // listed reads the executors of a pool; the directory may lack one on which the former owner has just started tasks.
@@ -80,9 +119,9 @@
 	if !ok {
 		return nil, errors.New("no plug-in decodes the platform's announcements")
 	}
-	items, _, err := store.List(ctx, announcements.Executors())
+	items, err := list(ctx, store, announcements.Executors())
 	if err != nil {
-		return nil, fmt.Errorf("read executors: %w", err)
+		return nil, err
 	}
 	var executors []site.Executor
 	for _, i := range items {
@@ -94,8 +133,8 @@
 	return executors, nil
 }
 
-func readChain(ctx context.Context, store port.Store, pool string) (tenure.Chain, int64, error) {
-	item, err := store.Get(ctx, tenure.PrefixChain+pool)
+func readChain(ctx context.Context, store port.Store, duty string) (tenure.Chain, int64, error) {
+	item, err := read(ctx, func(ctx context.Context) (port.Item, error) { return store.Get(ctx, tenure.PrefixChain+duty) })
 	if errors.Is(err, port.ErrNotFound) {
 		return tenure.Chain{}, 0, nil
 	}
@@ -106,16 +145,8 @@
 	return chain, item.Revision, err
 }
 
-// readJobs reads the stored jobs of a pool; a record that cannot be read fails the takeover rather than losing a job.
-func readJobs(ctx context.Context, store port.Store, pool string) ([]schedule.Stored, error) {
-	jobs, _, err := store.List(ctx, job.PrefixJob+pool+"/")
-	if err != nil {
-		return nil, fmt.Errorf("read jobs: %w", err)
-	}
-	marks, _, err := store.List(ctx, job.PrefixProgress+pool+"/")
-	if err != nil {
-		return nil, fmt.Errorf("read progress: %w", err)
-	}
+// decodeJobs returns the stored jobs of a pool; a record that cannot be read fails the takeover rather than losing a job.
+func decodeJobs(pool string, jobs, marks []port.Item) ([]schedule.Stored, error) {
 	progress := map[string]job.Progress{}
 	for _, i := range marks {
 		p, err := job.Decode[job.Progress](i.Value)
--- a/internal/link/pool/writer.go
+++ b/internal/link/pool/writer.go
@@ -33,13 +33,6 @@
 	chain    tenure.Chain
 }
 
-func (t tenancy) writer() writer {
-	return writer{
-		store: t.store, key: tenure.PrefixChain + t.duty, revision: t.revision,
-		chain: tenure.Chain{Epoch: t.epoch, Name: t.self.Name, Start: t.self.Start},
-	}
-}
-
 // write is the duty that stores what the owner decides.
 func (o *owner) write(ctx context.Context) {
 	for {
@@ -70,6 +63,11 @@
 func (w *writer) apply(ctx context.Context, c schedule.Commit, log *slog.Logger, stalled func()) error {
 	next := w.chain
 	next.Number = c.Number
+	return w.put(ctx, next, c, log, stalled)
+}
+
+// put makes a write that sets the chain record, as apply does.
+func (w *writer) put(ctx context.Context, next tenure.Chain, c schedule.Commit, log *slog.Logger, stalled func()) error {
 	change := port.Change{
 		Conditions: []port.Condition{{Key: w.key, Revision: w.revision}},
 		Writes:     append([]port.Write{{Key: w.key, Value: job.Encode(next)}}, c.Writes...),
--- /dev/null
+++ b/internal/proof/soak/caller.go
@@ -0,0 +1,159 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"teaselloft/internal/standin/site"
+)
+
+// Times of callers.
+const (
+	callTimeout = 3 * time.Second // the time limit of the users' sheets
+	attempts    = 8               // to hand a job in
+	retryPause  = 150 * time.Millisecond
+)
+
+// call hands jobs in, asks for their states and cancels some until the context ends.
+func (s *soak) call(ctx context.Context, n int) {
+	r := rand.New(rand.NewPCG(s.options.Seed, uint64(n)))
+	caller := site.NewCaller(callTimeout)
+	defer caller.Close()
+	for serial := 0; ctx.Err() == nil; serial++ {
+		j := newJob(r, fmt.Sprintf("%08x%08x", n, serial))
+		if s.submit(ctx, caller, r, j) {
+			s.follow(ctx, caller, r, j)
+		}
+		wait(ctx, between(r, 50*time.Millisecond, 600*time.Millisecond))
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// newJob draws a job: a chain of steps, one that fails, one that lasts.
+func newJob(r *rand.Rand, id string) site.Job {
+	j := site.Job{ID: id, Pool: Pools[r.IntN(len(Pools))], Spec: between(r, 50*time.Millisecond, 1500*time.Millisecond).String()}
+	for n := range 1 + r.IntN(3) {
+		step := site.Step{Count: 1 + r.IntN(4), CPU: 200 + r.IntN(1500), Memory: 64}
+		if n > 0 {
+			step.After = []int{n - 1}
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	switch r.IntN(12) {
+	case 0:
+		j.Spec = "fail"
+	case 1:
+		j.Spec, j.Steps = "1h", []site.Step{{Count: 1 + r.IntN(3), CPU: 300, Memory: 64, Lasting: true}}
+	}
+	return j
+}
+
+// daemonFor returns where a caller is sent, as by a balancer that does not know of the latest faults.
+func (s *soak) daemonFor(r *rand.Rand) *daemon {
+	return s.system.daemons[r.IntN(len(s.system.daemons))]
+}
+
+// submit hands a job in until its outcome is known or the caller gives up.
+func (s *soak) submit(ctx context.Context, c *site.Caller, r *rand.Rand, j site.Job) bool {
+	for range attempts {
+		d := s.daemonFor(r)
+		s.ledger.handing(j)
+		sent := s.ledger.now()
+		status, err := c.Submit(ctx, d.front, j)
+		if ctx.Err() != nil {
+			return false
+		}
+		s.failed(d, sent, err)
+		if err == nil {
+			s.ledger.handed(j, status)
+		}
+		switch {
+		case status == http.StatusOK:
+			return true
+		case status == http.StatusServiceUnavailable && r.IntN(2) == 0:
+			return false // it was refused and must never run, unless an earlier attempt was taken
+		}
+		wait(ctx, retryPause)
+	}
+	return false
+}
+
+// failed tells the ledger of a connection that ended without an answer.
+func (s *soak) failed(d *daemon, sent time.Duration, err error) {
+	if err == nil {
+		return
+	}
+	if n, ok := err.(net.Error); ok && n.Timeout() { //nolint:errorlint // the client returns the outermost error so
+		return
+	}
+	if isRefused(err) {
+		return // nothing was sent
+	}
+	s.ledger.cut(d.name, sent, err)
+}
+
+// follow asks for the state of an accepted job now and then, and cancels what lasts and some others.
+func (s *soak) follow(ctx context.Context, c *site.Caller, r *rand.Rand, j site.Job) {
+	cancels := j.Steps[0].Lasting || r.IntN(8) == 0
+	for range 1 + r.IntN(4) {
+		wait(ctx, between(r, 100*time.Millisecond, 1500*time.Millisecond))
+		if ctx.Err() != nil || s.look(ctx, c, s.daemonFor(r), j) != "" {
+			return
+		}
+	}
+	if !cancels {
+		return
+	}
+	s.cancel(ctx, c, r, j)
+}
+
+// look asks for a state and returns it when it is final.
+func (s *soak) look(ctx context.Context, c *site.Caller, d *daemon, j site.Job) string {
+	asked := s.ledger.now()
+	status, state, err := c.State(ctx, d.front, j)
+	if ctx.Err() != nil {
+		return ""
+	}
+	s.failed(d, asked, err)
+	if err != nil {
+		return ""
+	}
+	s.ledger.looked(j, asked, status, state)
+	switch state {
+	case "completed", "failed", "cancelled":
+		return state
+	default:
+		return ""
+	}
+}
+
+// cancel repeats a cancellation until it is answered for good.
+func (s *soak) cancel(ctx context.Context, c *site.Caller, r *rand.Rand, j site.Job) {
+	s.ledger.cancelling(j)
+	for range attempts {
+		d := s.daemonFor(r)
+		sent := s.ledger.now()
+		status, err := c.Cancel(ctx, d.front, j)
+		if ctx.Err() != nil {
+			return
+		}
+		s.failed(d, sent, err)
+		if err == nil {
+			s.ledger.cancelled(j, status)
+			if status == http.StatusOK || status == http.StatusGone {
+				return
+			}
+		}
+		wait(ctx, retryPause)
+	}
+}
--- /dev/null
+++ b/internal/proof/soak/ledger.go
@@ -0,0 +1,315 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"teaselloft/internal/standin/site"
+)
+
+// Bounds of the promises, from the users' pages.
+const (
+	cancelBound  = 3 * time.Second        // from the acknowledgement of a cancellation until no task of it starts
+	visibleBound = 3 * time.Second        // from the acknowledgement of a job until every daemon knows it
+	lossSlack    = 200 * time.Millisecond // that a request may be sent before its connection ends with a planned stop
+	contactBound = 3 * time.Second        // without a disturbance, after which bounds hold again
+)
+
+// Violation is a promise that was not kept.
+type Violation struct {
+	Promise string
+	Detail  string
+	At      time.Duration // since the soak's begin
+}
+
+// ledger knows what was asked for and what back ends have done, and compares the two.
+type ledger struct {
+	begin time.Time
+
+	mutex      sync.Mutex
+	jobs       map[string]*entry
+	runs       map[string]map[string]uint64 // executor to task to run
+	done       map[string]bool              // tasks whose success was taken note of
+	failures   map[string]int               // failed runs that were taken note of
+	ended      map[string]bool              // tasks that have ended done on an executor
+	faults     []span
+	violations []Violation
+	starts     int
+	answers    map[string]int // by kind of call and status
+}
+
+// span is a time with a disturbance; its end is open while it lasts.
+type span struct {
+	name     string
+	from, to time.Duration
+}
+
+// entry is a job as its caller knows it.
+type entry struct {
+	job       site.Job
+	attempts  int
+	refused   int
+	accepted  time.Duration
+	cancelled time.Duration // when the cancellation was acknowledged
+	asked     bool          // a cancellation was sent
+	final     string
+}
+
+func newLedger() *ledger {
+	return &ledger{
+		begin: time.Now(), jobs: map[string]*entry{}, runs: map[string]map[string]uint64{}, done: map[string]bool{},
+		failures: map[string]int{}, ended: map[string]bool{}, answers: map[string]int{},
+	}
+}
+
+func (l *ledger) now() time.Duration { return time.Since(l.begin) }
+
+// broken notes a violation.
+func (l *ledger) broken(promise, format string, args ...any) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.note(promise, format, args...)
+}
+
+func (l *ledger) note(promise, format string, args ...any) {
+	l.violations = append(l.violations, Violation{Promise: promise, Detail: fmt.Sprintf(format, args...), At: l.now()})
+}
+
+// disturbed notes the begin of a disturbance and returns what notes its end.
+func (l *ledger) disturbed(name string) (end func()) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	index := len(l.faults)
+	l.faults = append(l.faults, span{name: name, from: l.now(), to: 1 << 62})
+	return func() {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		l.faults[index].to = l.now()
+	}
+}
+
+// calm reports whether there was no disturbance since a time, but planned ones.
+func (l *ledger) calm(since time.Duration, planned string) bool {
+	for _, f := range l.faults {
+		if f.to > since && !strings.HasPrefix(f.name, planned) {
+			return false
+		}
+	}
+	return true
+}
+
+// planned is the begin of no disturbance's name.
+const nothing = "\x00"
+
+// observe takes what back ends have done.
+func (l *ledger) observe(e site.Event) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch e := e.(type) {
+	case site.Start:
+		l.starts++
+		l.started(e)
+	case site.End:
+		delete(l.runs[e.Executor], e.Task)
+		if e.How == "done" {
+			l.ended[e.Task] = true
+		}
+	case site.Noted:
+		if e.How == "done" {
+			l.done[e.Task] = true
+		}
+		if e.How == "failed" {
+			l.failures[e.Task]++
+		}
+	case site.Gone:
+		delete(l.runs, e.Executor)
+	case site.Upkeep:
+		if e.Down > waveMost {
+			l.note("LIMIT", "%d instances of wave %d are down with %s, %d may be", e.Down, e.Wave, e.Instance, waveMost)
+		}
+	default:
+		panic(fmt.Sprintf("soak: event %T is not handled", e))
+	}
+}
+
+// started checks a start against what was asked for.
+func (l *ledger) started(e site.Start) {
+	id, step, ok := split(e.Task)
+	j := l.jobs[id]
+	if !ok || j == nil {
+		l.note("UNASKED", "%s started %s, which nobody handed in", e.Executor, e.Task)
+		return
+	}
+	for other, runs := range l.runs {
+		if run, running := runs[e.Task]; running {
+			l.note("TWICE", "%s run %d starts on %s while run %d is on %s", e.Task, e.Run, e.Executor, run, other)
+		}
+	}
+	if l.runs[e.Executor] == nil {
+		l.runs[e.Executor] = map[string]uint64{}
+	}
+	l.runs[e.Executor][e.Task] = e.Run
+	switch {
+	case l.done[e.Task]:
+		l.note("TWICE", "%s run %d starts on %s after its success was taken note of", e.Task, e.Run, e.Executor)
+	case j.refused == j.attempts:
+		l.note("REFUSED", "%s starts on %s, and all %d attempts to hand it in were refused", e.Task, e.Executor, j.attempts)
+	case l.failures[e.Task] >= site.Attempts && !j.job.Steps[step].Lasting:
+		l.note("BUDGET", "%s run %d starts after %d failed runs", e.Task, e.Run, l.failures[e.Task])
+	case j.cancelled != 0 && l.now() > j.cancelled+cancelBound && l.calm(j.cancelled, nothing):
+		l.note("UNASKED", "%s run %d starts %v after its cancellation", e.Task, e.Run, l.now()-j.cancelled)
+	}
+	for _, before := range j.job.Steps[step].After {
+		for index := range j.job.Steps[before].Count {
+			if task := fmt.Sprintf("%s.0.%d.%d", id, before, index); !l.ended[task] {
+				l.note("ORDER", "%s starts before %s has ended", e.Task, task)
+			}
+		}
+	}
+	used := 0
+	for task := range l.runs[e.Executor] {
+		if other, s, ok := split(task); ok && l.jobs[other] != nil {
+			used += l.jobs[other].job.Steps[s].CPU
+		}
+	}
+	if used > site.CPU {
+		l.note("LIMIT", "%s holds %d of %d thousandths of a core with %s", e.Executor, used, site.CPU, e.Task)
+	}
+}
+
+// split returns the job and the step of a task's name.
+func split(task string) (id string, step int, ok bool) {
+	parts := strings.Split(task, ".")
+	if len(parts) != 4 {
+		return "", 0, false
+	}
+	step, err := strconv.Atoi(parts[2])
+	return parts[0], step, err == nil
+}
+
+// handing notes that a job is about to be sent.
+func (l *ledger) handing(j site.Job) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.jobs[j.ID] == nil {
+		l.jobs[j.ID] = &entry{job: j}
+	}
+	l.jobs[j.ID].attempts++
+}
+
+// handed notes the answer to a submission.
+func (l *ledger) handed(j site.Job, status int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.answers[fmt.Sprintf("submit %d", status)]++
+	x := l.jobs[j.ID]
+	switch status {
+	case http.StatusOK:
+		if x.accepted == 0 {
+			x.accepted = l.now()
+		}
+		if x.refused > 0 && x.refused == x.attempts {
+			l.note("REFUSED", "job %s was accepted without an attempt that was not refused", j.ID)
+		}
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound:
+		x.refused++
+	}
+}
+
+// looked notes what a caller was told of a job.
+func (l *ledger) looked(j site.Job, asked time.Duration, status int, state string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.answers[fmt.Sprintf("state %d", status)]++
+	x := l.jobs[j.ID]
+	switch {
+	case status == http.StatusGone && x.accepted != 0 && asked > x.accepted+visibleBound && !x.asked:
+		l.note("LOST", "job %s is not known %v after it was accepted", j.ID, l.now()-x.accepted)
+	case state == "completed":
+		l.completed(x)
+	case state == "cancelled" && !x.asked:
+		l.note("LOST", "job %s is shown as cancelled, and nobody has cancelled it", j.ID)
+	}
+	if state == "completed" || state == "failed" || state == "cancelled" {
+		if x.final != "" && x.final != state {
+			l.note("MIXED", "job %s is shown as %s after %s", j.ID, state, x.final)
+		}
+		x.final = state
+	}
+}
+
+func (l *ledger) completed(x *entry) {
+	for step, s := range x.job.Steps {
+		for index := range s.Count {
+			if task := fmt.Sprintf("%s.0.%d.%d", x.job.ID, step, index); !l.ended[task] {
+				l.note("MIXED", "job %s is shown as completed, and %s has not ended", x.job.ID, task)
+				return
+			}
+		}
+	}
+}
+
+// cancelling notes that a cancellation is about to be sent.
+func (l *ledger) cancelling(j site.Job) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.jobs[j.ID].asked = true
+}
+
+// cancelled notes the answer to a cancellation; 410 says that the job had ended.
+func (l *ledger) cancelled(j site.Job, status int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.answers[fmt.Sprintf("cancel %d", status)]++
+	if x := l.jobs[j.ID]; x.cancelled == 0 && status == http.StatusOK {
+		x.cancelled = l.now()
+	}
+}
+
+// cut notes a connection that ended without an answer to a request that was sent whole at a time.
+func (l *ledger) cut(d string, sent time.Duration, err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.answers["cut"]++
+	if l.now()-sent < lossSlack || !l.calm(sent-contactBound, "terminate") {
+		return
+	}
+	for _, f := range l.faults {
+		if f.name == "terminate "+d && f.from <= l.now() && f.to > sent {
+			l.note("LOST", "%s cut a request of %v ago while it stopped: %v", d, l.now()-sent, err)
+			return
+		}
+	}
+}
+
+// open returns the jobs that were accepted and have not been seen to end.
+func (l *ledger) open() []site.Job {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var open []site.Job
+	for _, x := range l.jobs {
+		if x.accepted != 0 && x.final == "" {
+			open = append(open, x.job)
+		}
+	}
+	return open
+}
+
+// running returns the tasks that run of cancelled jobs.
+func (l *ledger) running() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var tasks []string
+	for executor, runs := range l.runs {
+		for task := range runs {
+			if id, _, ok := split(task); ok && l.jobs[id] != nil && l.jobs[id].cancelled != 0 {
+				tasks = append(tasks, task+" on "+executor)
+			}
+		}
+	}
+	return tasks
+}
--- /dev/null
+++ b/internal/proof/soak/proxy.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Way is a direction of a connection through a proxy.
+type Way int
+
+// The directions: from the side that has opened the connection, and back.
+const (
+	WayOut Way = iota
+	WayBack
+)
+
+// Proxy forwards connections on loopback and disturbs them on request.
+type Proxy struct {
+	listener net.Listener
+	target   atomic.Pointer[string]
+	silent   [2]atomic.Bool // by way: bytes wait until it ends
+	delay    atomic.Int64   // before bytes are passed on
+	refuse   atomic.Bool
+	opened   sync.WaitGroup
+
+	mutex  sync.Mutex
+	pairs  map[*pair]bool
+	closed bool
+}
+
+// pair is one connection and its continuation.
+type pair struct {
+	in, out net.Conn
+}
+
+// NewProxy starts a proxy to an address.
+func NewProxy(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // binding an address does not wait
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: l, pairs: map[*pair]bool{}}
+	p.target.Store(&target)
+	p.opened.Go(p.accept)
+	return p, nil
+}
+
+// Address returns where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Silence holds bytes back in one direction, or lets them pass again.
+func (p *Proxy) Silence(w Way, silent bool) { p.silent[w].Store(silent) }
+
+// Delay passes bytes on after a while.
+func (p *Proxy) Delay(d time.Duration) { p.delay.Store(int64(d)) }
+
+// Refuse closes new connections at once, or takes them again.
+func (p *Proxy) Refuse(refuse bool) { p.refuse.Store(refuse) }
+
+// Reset breaks every open connection without an orderly end.
+func (p *Proxy) Reset() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for x := range p.pairs {
+		x.reset()
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	p.mutex.Lock()
+	p.closed = true
+	p.mutex.Unlock()
+	_ = p.listener.Close() // it is not used any more
+	p.Reset()
+	p.opened.Wait()
+}
+
+func (p *Proxy) accept() {
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.refuse.Load() {
+			(&pair{in: in}).reset()
+			continue
+		}
+		p.opened.Go(func() { p.join(in) })
+	}
+}
+
+func (p *Proxy) join(in net.Conn) {
+	const dialTimeout = 2 * time.Second
+	out, err := net.DialTimeout("tcp", *p.target.Load(), dialTimeout) //nolint:noctx // bounded by its timeout
+	if err != nil {
+		(&pair{in: in}).reset()
+		return
+	}
+	x := &pair{in: in, out: out}
+	p.mutex.Lock()
+	if p.closed {
+		p.mutex.Unlock()
+		x.reset()
+		return
+	}
+	p.pairs[x] = true
+	p.mutex.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.pump(out, in, WayOut) })
+	both.Go(func() { p.pump(in, out, WayBack) })
+	both.Wait()
+	p.mutex.Lock()
+	delete(p.pairs, x)
+	p.mutex.Unlock()
+}
+
+// pump passes bytes on until either side ends, and then ends both.
+func (p *Proxy) pump(to, from net.Conn, w Way) {
+	defer func() { _, _ = to.Close(), from.Close() }() // the other direction ends with them
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			p.pause(w)
+			if _, failed := to.Write(buffer[:n]); failed != nil {
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			p.pause(w)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// pause waits for the delay and until the direction is not silent any more.
+func (p *Proxy) pause(w Way) {
+	time.Sleep(time.Duration(p.delay.Load()))
+	const look = 20 * time.Millisecond
+	for p.silent[w].Load() {
+		time.Sleep(look)
+	}
+}
+
+// reset closes a connection so that its peers see it broken.
+func (x *pair) reset() {
+	for _, c := range []net.Conn{x.in, x.out} {
+		if t, ok := c.(*net.TCPConn); ok && t != nil {
+			_ = t.SetLinger(0)
+			_ = t.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/soak/soak.go
@@ -0,0 +1,194 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"teaselloft/internal/standin/site"
+)
+
+// Options of a run.
+type Options struct {
+	Seed      uint64        // of the plan of faults and of the callers
+	Daemons   int           // processes
+	Instances int           // of each pool; half as many are on standby
+	Callers   int           // that hand jobs in at the same time
+	Length    time.Duration // in which faults begin
+	Bin       string        // directory of the program
+	Dir       string        // for settings and logs
+	Log       func(format string, args ...any)
+}
+
+// Report is what a run has seen.
+type Report struct {
+	Violations []Violation
+	Faults     map[string]int // by kind
+	Jobs       int
+	Accepted   int
+	Completed  int
+	Starts     int
+	Answers    map[string]int // by kind of call and status
+}
+
+// Bounds of the calm at the end of a run.
+const (
+	calmTime   = 45 * time.Second // until every accepted job has ended; tasks wait up to 8 s for the lease of a lost executor
+	waveNumber = 1
+	waveMost   = 2                // instances of the wave that may be down at once
+	waveTime   = 20 * time.Second // until its deadline
+)
+
+// soak is one run.
+type soak struct {
+	options Options
+	ledger  *ledger
+	system  *system
+
+	mutex   sync.Mutex
+	busy    map[*daemon]bool // in a fault of its process
+	version int              // of the configuration
+	extra   string           // queue that the configuration in force adds
+}
+
+// Run starts a system, disturbs it and returns what its callers and executors have seen; errors wrap ErrNotReady.
+func Run(ctx context.Context, o Options) (Report, error) {
+	s := &soak{options: o, ledger: newLedger(), busy: map[*daemon]bool{}, version: 1}
+	var err error
+	s.system, err = newSystem(ctx, o, s.ledger)
+	if s.system != nil {
+		defer s.system.close()
+	}
+	if err != nil {
+		return Report{}, err
+	}
+	actions := plan(rand.New(rand.NewPCG(o.Seed, 0)), o)
+	calls, stop := context.WithCancel(ctx)
+	defer stop()
+	var callers, faults sync.WaitGroup
+	for n := range o.Callers {
+		callers.Go(func() { s.call(calls, n+1) })
+	}
+	s.system.site.Wave(waveNumber, waveTime, waveMost)
+	begin := time.Now()
+	for _, a := range actions {
+		wait(ctx, a.at-time.Since(begin))
+		faults.Go(func() { s.inject(ctx, a) })
+	}
+	faults.Wait()
+	stop()
+	callers.Wait()
+	s.settle(ctx)
+	return s.report(actions), ctx.Err()
+}
+
+// log prints a line of the run.
+func (s *soak) log(format string, args ...any) {
+	if s.options.Log != nil {
+		s.options.Log(format, args...)
+	}
+}
+
+// configure adds a queue and drops the one before.
+func (s *soak) configure() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version += 1 + s.version%3 // versions rise in uneven steps
+	s.extra = fmt.Sprintf("extra-%d", s.version)
+	s.system.site.Configure(s.version, s.extra)
+}
+
+// settle waits in calm until every promise that takes time has to be kept, and checks those.
+func (s *soak) settle(ctx context.Context) {
+	caller := site.NewCaller(callTimeout)
+	defer caller.Close()
+	if err := s.system.await(ctx); err != nil {
+		s.ledger.broken("recovery", "%v", err)
+		return
+	}
+	s.cancelLasting(ctx, caller)
+	limit := time.Now().Add(calmTime)
+	for time.Now().Before(limit) && ctx.Err() == nil {
+		if len(s.lookForEnds(ctx, caller)) == 0 && len(s.ledger.running()) == 0 && s.system.site.WaveCompleted(waveNumber) {
+			break
+		}
+		wait(ctx, 300*time.Millisecond)
+	}
+	for _, j := range s.ledger.open() {
+		s.ledger.broken("LOST", "job %s was accepted and has not ended after %v of calm", j.ID, calmTime)
+	}
+	for _, task := range s.ledger.running() {
+		s.ledger.broken("UNASKED", "%s runs after its cancellation and %v of calm", task, calmTime)
+	}
+	if !s.system.site.WaveCompleted(waveNumber) {
+		s.ledger.broken("wave", "wave %d is not completed after %v of calm, %d instances had their upkeep",
+			waveNumber, calmTime, len(s.system.site.Upkeeps()))
+	}
+	s.checkConfiguration(ctx, caller)
+}
+
+// cancelLasting cancels the jobs that would never end; calm makes the first answer final.
+func (s *soak) cancelLasting(ctx context.Context, c *site.Caller) {
+	r := rand.New(rand.NewPCG(s.options.Seed, 1<<32))
+	for _, j := range s.ledger.open() {
+		if j.Steps[0].Lasting {
+			s.cancel(ctx, c, r, j)
+		}
+	}
+}
+
+// lookForEnds asks for the states of the jobs that have not ended and returns those that still have not.
+func (s *soak) lookForEnds(ctx context.Context, c *site.Caller) []site.Job {
+	open := s.ledger.open()
+	return slices.DeleteFunc(open, func(j site.Job) bool {
+		return s.look(ctx, c, s.system.daemons[len(j.ID)%len(s.system.daemons)], j) != ""
+	})
+}
+
+// checkConfiguration asks every daemon for a queue of the configuration in force and for one that it has dropped.
+func (s *soak) checkConfiguration(ctx context.Context, c *site.Caller) {
+	s.configure()
+	dropped := "/" + s.extra + "/"
+	s.configure()
+	wait(ctx, configBound)
+	for _, d := range s.system.daemons {
+		for prefix, want := range map[string]int{"/" + s.extra + "/": http.StatusOK, dropped: http.StatusNotFound} {
+			if status, err := c.Pending(ctx, d.front, prefix); status != want {
+				s.ledger.broken("CONFIG", "%s answers %d (%v) for %s of version %d, not %d", d.name, status, err, prefix, s.version, want)
+			}
+		}
+	}
+}
+
+// configBound is how long a configuration may take to be in force.
+const configBound = 2 * time.Second
+
+func (s *soak) report(actions []action) Report {
+	s.ledger.mutex.Lock()
+	defer s.ledger.mutex.Unlock()
+	r := Report{
+		Violations: s.ledger.violations, Faults: map[string]int{}, Jobs: len(s.ledger.jobs), Starts: s.ledger.starts, Answers: s.ledger.answers,
+	}
+	for _, a := range actions {
+		r.Faults[strings.TrimPrefix(fmt.Sprintf("%T", a.fault), "soak.")]++
+	}
+	for _, x := range s.ledger.jobs {
+		if x.accepted != 0 {
+			r.Accepted++
+		}
+		if x.final == "completed" {
+			r.Completed++
+		}
+	}
+	return r
+}
+
+// isRefused reports whether a call failed because nobody listens.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/internal/proof/soak/soak_test.go
@@ -0,0 +1,83 @@
+package soak_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"teaselloft/internal/proof/soak"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	seed      = flag.Uint64("seed", 0, "first seed; the regression seeds when it is 0")
+	seeds     = flag.Uint64("seeds", 1, "seeds to run, from the first one")
+	daemons   = flag.Int("daemons", 6, "daemon processes")
+	instances = flag.Int("instances", 4, "instances of each pool")
+	callers   = flag.Int("callers", 12, "callers")
+	length    = flag.Duration("length", 12*time.Second, "time in which faults begin")
+	bin       = flag.String("bin", "", "directory of the program; it is built when it is empty")
+	logs      = flag.String("logs", "", "directory that keeps settings and logs; a temporary one when it is empty")
+)
+
+// regressions are the seeds of CI: one that has always passed, and each that ever failed, with the cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{
+	{1, "none; every kind of process fault within its first seconds"},
+}
+
+func binaries(c *qt.C) string {
+	if *bin != "" {
+		path, err := filepath.Abs(*bin)
+		c.Assert(err, qt.IsNil)
+		return path
+	}
+	dir := c.TempDir()
+	out, err := exec.Command("go", "build", "-o", dir, "../../../cmd/teaselloft").CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	return dir
+}
+
+// Guards against promises that break when faults of processes, connections, the store and executors come in series and
+// overlap: a task that runs twice or too early, a job that is lost or runs although it was refused or cancelled.
+func TestSoak(t *testing.T) {
+	c := qt.New(t)
+	dir := binaries(c)
+	if *seed == 0 {
+		for _, x := range regressions {
+			c.Run(fmt.Sprint(x.seed), func(c *qt.C) { run(c, dir, x.seed) })
+		}
+		return
+	}
+	for n := *seed; n < *seed+*seeds; n++ {
+		c.Run(fmt.Sprint(n), func(c *qt.C) { run(c, dir, n) })
+	}
+}
+
+func run(c *qt.C, bin string, seed uint64) {
+	dir := c.TempDir()
+	if *logs != "" {
+		path, err := filepath.Abs(filepath.Join(*logs, fmt.Sprint(seed)))
+		c.Assert(err, qt.IsNil)
+		c.Assert(os.MkdirAll(path, 0o700), qt.IsNil)
+		dir = path
+	}
+	begin := time.Now()
+	r, err := soak.Run(context.Background(), soak.Options{
+		Seed: seed, Daemons: *daemons, Instances: *instances, Callers: *callers, Length: *length, Bin: bin, Dir: dir, Log: c.Logf,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Logf("soak seed=%d daemons=%d took=%v jobs=%d accepted=%d completed=%d starts=%d faults=%v answers=%v violations=%d",
+		seed, *daemons, time.Since(begin).Round(time.Second), r.Jobs, r.Accepted, r.Completed, r.Starts, r.Faults, r.Answers, len(r.Violations))
+	for _, v := range r.Violations[:min(len(r.Violations), 20)] {
+		c.Errorf("%v %s: %s", v.At.Round(time.Millisecond), v.Promise, v.Detail)
+	}
+}
--- /dev/null
+++ b/internal/proof/soak/system.go
@@ -0,0 +1,269 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"teaselloft/internal/standin/site"
+)
+
+// ErrNotReady is returned when daemons did not become ready in time.
+var ErrNotReady = errors.New("daemons are not ready")
+
+// readyTimeout is far above the second that daemons take on an idle machine.
+const readyTimeout = 60 * time.Second
+
+// system is a site of stand-ins and the daemons in front of it.
+type system struct {
+	site    *site.Site
+	store   string
+	cloud   string
+	servers []*http.Server
+	bin     string
+	dir     string
+	daemons []*daemon
+	ledger  *ledger
+
+	mutex     sync.Mutex
+	executors map[string]*Proxy // by executor
+}
+
+// daemon is a process that may be ended and started again.
+type daemon struct {
+	name  string
+	store *Proxy // between it and the store
+	peers *Proxy // between the other daemons and it
+	front string // where callers reach it
+	ready string
+
+	mutex    sync.Mutex
+	command  *exec.Cmd
+	ended    chan struct{}
+	expected bool // the process has been told to end
+}
+
+// newSystem starts the stand-ins and the daemons and waits until they are ready; errors wrap ErrNotReady.
+func newSystem(ctx context.Context, o Options, l *ledger) (*system, error) {
+	s := &system{bin: o.Bin, dir: o.Dir, ledger: l, executors: map[string]*Proxy{}}
+	var err error
+	s.site, err = site.NewWith(site.Options{
+		Instances: o.Instances, Standby: o.Instances / 2, Pools: Pools, Rate: slowClock, Observe: l.observe, Front: s.front,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if s.store, err = s.serve(s.site.Store.Handler()); err != nil {
+		return s, err
+	}
+	if s.cloud, err = s.serve(s.site.Instances()); err != nil {
+		return s, err
+	}
+	for n := range o.Daemons {
+		d, err := s.newDaemon(n)
+		if err != nil {
+			return s, err
+		}
+		s.daemons = append(s.daemons, d)
+		if err := s.start(d); err != nil {
+			return s, err
+		}
+	}
+	return s, s.await(ctx)
+}
+
+// slowClock is the rate of the executors' clocks, the slowest of the pages.
+const slowClock = 0.98
+
+// Pools of the soak's site.
+var Pools = []string{site.Pool, "schoolyard"}
+
+// front puts a proxy before an executor.
+func (s *system) front(executor, address string) string {
+	p, err := NewProxy(address)
+	if err != nil {
+		return address
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.executors[executor] = p
+	return p.Address()
+}
+
+// proxy returns the proxy before an executor, or nil.
+func (s *system) proxy(executor string) *Proxy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.executors[executor]
+}
+
+func (s *system) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // binding an address does not wait
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }() // ends with Close
+	return l.Addr().String(), nil
+}
+
+// newDaemon writes the settings of a daemon, whose traffic goes through proxies.
+func (s *system) newDaemon(n int) (*daemon, error) {
+	ports, err := freePorts(4)
+	if err != nil {
+		return nil, err
+	}
+	d := &daemon{name: fmt.Sprintf("daemon-%d", n+1), front: ports[0], ready: ports[1]}
+	if d.store, err = NewProxy(s.store); err != nil {
+		return nil, err
+	}
+	if d.peers, err = NewProxy(ports[2]); err != nil {
+		return nil, err
+	}
+	listen := func(address string) map[string]any { return map[string]any{"address": address} }
+	data, err := json.MarshalIndent(map[string]any{
+		"name": d.name, "zone": "z", "site": "soak", "log": "INFO",
+		"plugins": map[string]any{
+			"adapter": map[string]string{"store": d.store.Address(), "cloud": s.cloud},
+			"front":   map[string]any{"listen": listen(d.front), "ready": listen(d.ready), "metrics": listen(ports[3])},
+			"member":  map[string]any{"address": d.peers.Address(), "power": 1000},
+			"peer":    map[string]any{"listen": listen(ports[2])},
+			"pool":    map[string]string{"lease": "6s"}, "follow": map[string]any{}, "desk": map[string]any{},
+		},
+	}, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	return d, os.WriteFile(s.path(d, ".json"), data, 0o600)
+}
+
+func (s *system) path(d *daemon, suffix string) string { return filepath.Join(s.dir, d.name+suffix) }
+
+// freePorts returns loopback addresses that nobody listened on a moment ago.
+func freePorts(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // binding an address does not wait
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+// start runs the process of a daemon; its log is appended to NAME.log.
+func (s *system) start(d *daemon) error {
+	log, err := os.OpenFile(s.path(d, ".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	c := exec.CommandContext(context.Background(), filepath.Join(s.bin, "teaselloft"), "daemon", s.path(d, ".json"))
+	c.Stdout, c.Stderr = log, log
+	if err := c.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", d.name, err)
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.command, d.ended, d.expected = c, make(chan struct{}), false
+	go func(ended chan struct{}) {
+		err := c.Wait()
+		d.mutex.Lock()
+		expected := d.expected
+		d.mutex.Unlock()
+		if !expected {
+			s.ledger.broken("daemon", "%s ended by itself: %v", d.name, err)
+		}
+		close(ended)
+	}(d.ended)
+	return nil
+}
+
+// signal sends a signal to a daemon's process, if it runs.
+func (d *daemon) signal(sig syscall.Signal) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+		d.expected = true
+	}
+	_ = d.command.Process.Signal(sig) // fails when it has ended
+}
+
+// wait waits until the process has ended, and kills it when it takes too long.
+func (d *daemon) wait(limit time.Duration) (inTime bool) {
+	select {
+	case <-d.ended:
+		return true
+	case <-time.After(limit):
+		d.signal(syscall.SIGCONT)
+		d.signal(syscall.SIGKILL)
+		<-d.ended
+		return false
+	}
+}
+
+// await waits until every daemon takes requests.
+func (s *system) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, d := range s.daemons {
+		for !isReady(ctx, d) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("%s: %w", d.name, ErrNotReady)
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, d *daemon) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.ready+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// close ends the processes that it started, by their ids, and the stand-ins.
+func (s *system) close() {
+	for _, d := range s.daemons {
+		if d.command == nil {
+			continue
+		}
+		d.signal(syscall.SIGCONT)
+		d.signal(syscall.SIGKILL)
+		<-d.ended
+		d.store.Close()
+		d.peers.Close()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	if s.site != nil {
+		_ = s.site.Close()
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, p := range s.executors {
+		p.Close()
+	}
+}
--- a/internal/standin/site/executor.go
+++ b/internal/standin/site/executor.go
@@ -13,51 +13,88 @@
 // DefaultWork is how long a task runs whose spec is not a duration.
 const DefaultWork = 200 * time.Millisecond
 
-// Start is a task that an executor has begun.
-type Start struct {
-	Executor string
-	Task     string
-	Run      uint64
-	At       time.Time
-}
+// Fault says how an executor treats the orders that it gets.
+type Fault int
+
+// The faults of an executor.
+const (
+	FaultNone   Fault = iota
+	FaultSilent       // answers nothing and carries nothing out
+	FaultLate         // answers nothing and carries orders out after lateAfter
+	FaultFail         // fails every task that it starts
+	FaultHang         // tasks that it starts stand still until it is well again
+)
+
+// lateAfter is the delay of FaultLate, the shortest of the pages.
+const lateAfter = 2 * time.Second
 
 // Executor is one life of an instance; a task's spec says how long it runs, and "fail" that it fails.
+//
+// It ends what runs on it when its lease has run out on its own clock, which may be slow.
 type Executor struct {
 	ID      string
+	CPU     int // thousandths of a core
 	server  *http.Server
 	address string
 	born    time.Time
-	started func(Start)
+	rate    float64 // of its clock
+	most    time.Duration
+	observe Observer
 
 	mutex    sync.Mutex
 	fence    uint64
 	number   uint64
+	expires  int64 // ms, on its clock
+	lease    *time.Timer
 	runs     map[string]*work
-	ends     [][]any
+	ends     []ended
 	finished map[string]uint64
 	changed  chan struct{}
-	silent   bool
+	fault    Fault
+	closed   bool
 }
 
 type work struct {
-	run   uint64
-	timer *time.Timer
+	run    uint64
+	length time.Duration
+	timer  *time.Timer // stopped while the task stands still
+	stands bool
+}
+
+type ended struct {
+	number uint64
+	task   string
+	run    uint64
+	how    string
+}
+
+// ExecutorOptions describe a life of an executor.
+type ExecutorOptions struct {
+	ID      string
+	CPU     int           // thousandths of a core
+	Rate    float64       // of its clock, 1 when it is 0
+	Lease   time.Duration // the longest that it grants
+	Observe Observer
 }
 
-// NewExecutor starts an executor on a loopback port; started is called at each start of a task.
-func NewExecutor(id string, started func(Start)) (*Executor, error) {
+// NewExecutor starts an executor on a loopback port.
+func NewExecutor(o ExecutorOptions) (*Executor, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // binding an address does not wait
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	if o.Rate == 0 {
+		o.Rate = 1
+	}
 	e := &Executor{
-		ID: id, address: listener.Addr().String(), born: time.Now(), started: started,
+		ID: o.ID, CPU: o.CPU, address: listener.Addr().String(), born: time.Now(), rate: o.Rate, most: o.Lease, observe: o.Observe,
 		runs: map[string]*work{}, finished: map[string]uint64{}, changed: make(chan struct{}),
 	}
+	e.lease = time.AfterFunc(time.Hour, e.lapse)
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", e.start)
-	mux.HandleFunc("POST /run-stop", e.stop)
-	mux.HandleFunc("POST /pace", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, e.clock()) })
+	mux.HandleFunc("POST /run-start", e.order(e.start))
+	mux.HandleFunc("POST /run-stop", e.order(e.stop))
+	mux.HandleFunc("POST /pace", e.order(func(orderBody) answer { return answer{status: http.StatusOK} }))
 	mux.HandleFunc("POST /hold", e.hold)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
@@ -70,157 +107,241 @@
 	_ = e.server.Close() // its connections are dropped on purpose
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	if e.closed {
+		return
+	}
+	e.closed = true
+	e.lease.Stop()
 	for _, w := range e.runs {
 		w.timer.Stop()
 	}
 	e.runs = map[string]*work{}
+	e.observe(Gone{Executor: e.ID, At: time.Now()})
 }
 
-// Silence makes the executor leave all calls unanswered, or answer again.
-func (e *Executor) Silence(silent bool) {
+// Break makes the executor treat orders badly, or well again.
+func (e *Executor) Break(f Fault) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.silent = silent
+	e.fault = f
+	for _, w := range e.runs {
+		if w.stands && f == FaultNone {
+			w.stands = false
+			w.timer.Reset(w.length)
+		}
+	}
 }
 
-// Entry returns what the executor writes to the store about itself.
-func (e *Executor) Entry(pool, instance, rack string, cpu int) []byte {
+// Address returns where the executor listens.
+func (e *Executor) Address() string { return e.address }
+
+// entry returns what the executor writes to the store about itself; address is where it is reached.
+func (e *Executor) entry(pool, instance, rack, address string) []byte {
 	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"z","version":"v1","slots":8,"state":"ready","cold-remaining-ms":0,`+
 		`"capacity":{"cpu":%d,"mem-mb":65536,"gpu":0},"labels":["a",%q],"machine":%q,"born":%d,"sequence":1}`,
-		pool, e.address, cpu, rack, instance, e.born.UnixMilli())
+		pool, address, e.CPU, rack, instance, e.born.UnixMilli())
 }
 
+// now returns the executor's own clock in ms.
+func (e *Executor) now() int64 { return int64(float64(time.Since(e.born).Milliseconds()) * e.rate) }
+
 func (e *Executor) clock() map[string]any {
-	return map[string]any{"clock-ms": time.Since(e.born).Milliseconds(), "born": e.born.UnixMilli()}
+	return map[string]any{"clock-ms": e.now(), "born": e.born.UnixMilli()}
 }
 
 type orderBody struct {
-	Task  string `json:"task"`
-	Run   uint64 `json:"run-id"`
-	Spec  string `json:"spec"`
-	Fence uint64 `json:"fencing-token"`
-	Ack   uint64 `json:"ack-seq"`
-	Wait  int64  `json:"wait-ms"`
+	Task    string `json:"task"`
+	Run     uint64 `json:"run-id"`
+	Spec    string `json:"spec"`
+	Fence   uint64 `json:"fencing-token"`
+	Expires int64  `json:"expires-ms"`
+	Ack     uint64 `json:"ack-seq"`
+	Wait    int64  `json:"wait-ms"`
+}
+
+// answer is the outcome of an order; reason is of a refusal.
+type answer struct {
+	status int
+	reason string
 }
 
-// take decodes an order and checks its fence; it has answered when ok is false.
-func (e *Executor) take(w http.ResponseWriter, r *http.Request) (b orderBody, ok bool) {
+// take decodes an order; it has answered when ok is false.
+func (e *Executor) take(w http.ResponseWriter, r *http.Request) (b orderBody, fault Fault, ok bool) {
 	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
-		return b, false
+		return b, FaultNone, false
 	}
 	if life := r.Header.Get("X-Teaselloft-Expect-Instance"); life != "" && life != e.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
-		return b, false
+		return b, FaultNone, false
 	}
 	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if e.silent {
-		e.mutex.Unlock()
+	fault = e.fault
+	e.mutex.Unlock()
+	if fault == FaultSilent {
 		<-r.Context().Done()
-		e.mutex.Lock()
-		return b, false
+		return b, fault, false
 	}
-	if b.Fence < e.fence {
-		e.refuse(w, "fence")
-		return b, false
+	return b, fault, true
+}
+
+// order serves an order that is carried out at once, or late and without an answer.
+func (e *Executor) order(do func(orderBody) answer) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		b, fault, ok := e.take(w, r)
+		if !ok {
+			return
+		}
+		if fault == FaultLate {
+			time.AfterFunc(lateAfter, func() { e.carry(b, do) })
+			<-r.Context().Done()
+			return
+		}
+		a := e.carry(b, do)
+		body := e.clock()
+		if a.reason != "" {
+			body["reason"] = a.reason
+		}
+		reply(w, a.status, body)
 	}
-	e.fence = b.Fence
-	return b, true
 }
 
-func (e *Executor) refuse(w http.ResponseWriter, reason string) {
-	answer := e.clock()
-	answer["reason"] = reason
-	reply(w, http.StatusConflict, answer)
+// carry checks the fence of an order and carries it out.
+func (e *Executor) carry(b orderBody, do func(orderBody) answer) answer {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if b.Fence < e.fence || e.closed {
+		return answer{status: http.StatusConflict, reason: "fence"}
+	}
+	e.fence = b.Fence
+	return do(b)
 }
 
-func (e *Executor) start(w http.ResponseWriter, r *http.Request) {
-	b, ok := e.take(w, r)
-	if !ok {
+// extend takes a lease that an order carries; it never shortens.
+func (e *Executor) extend(expires int64) {
+	if expires == 0 {
 		return
 	}
+	e.expires = max(e.expires, min(expires, e.now()+e.most.Milliseconds()))
+	e.lease.Reset(time.Duration(float64(e.expires-e.now())/e.rate) * time.Millisecond)
+}
+
+// lapse ends everything once the lease has run out.
+func (e *Executor) lapse() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if x, ok := e.runs[b.Task]; ok && x.run == b.Run {
-		reply(w, http.StatusOK, e.clock())
+	if left := e.expires - e.now(); left > 0 {
+		e.lease.Reset(time.Duration(left) * time.Millisecond)
 		return
 	}
+	for task, w := range e.runs {
+		e.end(task, w.run, "lapsed")
+	}
+}
+
+func (e *Executor) start(b orderBody) answer {
+	if b.Expires < e.now() {
+		return answer{status: http.StatusConflict, reason: "late"}
+	}
+	e.extend(b.Expires)
+	if x, ok := e.runs[b.Task]; ok && x.run == b.Run {
+		return answer{status: http.StatusOK}
+	}
 	if b.Run <= e.finished[b.Task] {
-		e.refuse(w, "old")
-		return
+		return answer{status: http.StatusConflict, reason: "old"}
 	}
 	length, err := time.ParseDuration(b.Spec)
 	if err != nil {
 		length = DefaultWork
 	}
 	how := "done"
-	if strings.HasPrefix(b.Spec, "fail") {
+	if strings.HasPrefix(b.Spec, "fail") || e.fault == FaultFail {
 		how = "failed"
 	}
-	e.runs[b.Task] = &work{run: b.Run, timer: time.AfterFunc(length, func() {
+	w := &work{run: b.Run, length: length, timer: time.AfterFunc(length, func() {
 		e.mutex.Lock()
 		defer e.mutex.Unlock()
 		e.end(b.Task, b.Run, how)
 	})}
-	e.started(Start{Executor: e.ID, Task: b.Task, Run: b.Run, At: time.Now()})
-	reply(w, http.StatusOK, e.clock())
+	if e.fault == FaultHang {
+		w.stands = w.timer.Stop()
+	}
+	e.runs[b.Task] = w
+	e.observe(Start{Executor: e.ID, Task: b.Task, Run: b.Run, At: time.Now()})
+	return answer{status: http.StatusOK}
 }
 
 func (e *Executor) end(task string, run uint64, how string) {
 	x, ok := e.runs[task]
-	if !ok || x.run != run {
+	if !ok || x.run != run || e.closed {
 		return
 	}
 	x.timer.Stop()
 	delete(e.runs, task)
 	e.number++
 	e.finished[task] = run
-	e.ends = append(e.ends, []any{e.number, task, run, how, ""})
+	e.ends = append(e.ends, ended{number: e.number, task: task, run: run, how: how})
+	e.observe(End{Executor: e.ID, Task: task, Run: run, How: how, At: time.Now()})
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
 
-func (e *Executor) stop(w http.ResponseWriter, r *http.Request) {
-	b, ok := e.take(w, r)
-	if !ok {
-		return
+func (e *Executor) stop(b orderBody) answer {
+	e.end(b.Task, b.Run, "stopped")
+	e.finished[b.Task] = max(e.finished[b.Task], b.Run)
+	return answer{status: http.StatusOK}
+}
+
+// note forgets the ends that an owner has taken note of.
+func (e *Executor) note(b orderBody) answer {
+	e.extend(b.Expires)
+	for len(e.ends) > 0 && e.ends[0].number <= b.Ack {
+		x := e.ends[0]
+		e.ends = e.ends[1:]
+		e.observe(Noted{Executor: e.ID, Task: x.task, Run: x.run, How: x.how, At: time.Now()})
 	}
+	return answer{status: http.StatusOK}
+}
+
+// lists returns the runs and the ends that an owner asks for.
+func (e *Executor) lists() (body map[string]any, news bool, changed chan struct{}) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.end(b.Task, b.Run, "stopped")
-	e.finished[b.Task] = max(e.finished[b.Task], b.Run)
-	reply(w, http.StatusOK, e.clock())
+	body = e.clock()
+	active, finished := [][]any{}, [][]any{}
+	for task, x := range e.runs {
+		active = append(active, []any{task, x.run, "", 50, 0})
+	}
+	for _, x := range e.ends {
+		finished = append(finished, []any{x.number, x.task, x.run, x.how, ""})
+	}
+	body["active"], body["finished"] = active, finished
+	return body, len(finished) > 0, e.changed
 }
 
 func (e *Executor) hold(w http.ResponseWriter, r *http.Request) {
-	b, ok := e.take(w, r)
+	b, _, ok := e.take(w, r)
 	if !ok {
 		return
 	}
+	if a := e.carry(b, e.note); a.reason != "" {
+		body := e.clock()
+		body["reason"] = a.reason
+		reply(w, a.status, body)
+		return
+	}
 	limit := time.NewTimer(time.Duration(b.Wait) * time.Millisecond)
 	defer limit.Stop()
 	for {
-		e.mutex.Lock()
-		for len(e.ends) > 0 && e.ends[0][0].(uint64) <= b.Ack {
-			e.ends = e.ends[1:]
-		}
-		answer := e.clock()
-		active := [][]any{}
-		for task, x := range e.runs {
-			active = append(active, []any{task, x.run, "", 50, 0})
-		}
-		answer["active"], answer["finished"] = active, append([][]any{}, e.ends...)
-		ended, changed := len(e.ends) > 0, e.changed
-		e.mutex.Unlock()
-		if ended {
-			reply(w, http.StatusOK, answer)
+		body, news, changed := e.lists()
+		if news {
+			reply(w, http.StatusOK, body)
 			return
 		}
 		select {
 		case <-changed:
 		case <-limit.C:
-			reply(w, http.StatusOK, answer)
+			reply(w, http.StatusOK, body)
 			return
 		case <-r.Context().Done():
 			return
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -6,11 +6,12 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
 
-// Pool names of the stand-in and the route of its one queue.
+// Pool names of the stand-in, its host and the prefix of the queue of its first pool.
 const (
 	Pool    = "calendar"
 	Standby = "backoffice"
@@ -18,18 +19,38 @@
 	Prefix  = "/notices/"
 )
 
-// Away is how long an instance is away for a move or its upkeep.
-const Away = 300 * time.Millisecond
+// CPU is what an instance has, in thousandths of a core.
+const CPU = 4000
+
+// Times of the stand-in.
+const (
+	away    = 300 * time.Millisecond // for a move or an upkeep
+	holdMax = 6 * time.Second        // the longest lease that an executor grants
+)
+
+// Options describe a site; fields that are zero have defaults.
+type Options struct {
+	Instances int      // in each pool
+	Standby   int      // on standby
+	Pools     []string // each with a queue of its own; Pool alone when there are none
+	Rate      float64  // of the executors' clocks
+	Observe   Observer
+	// Front returns the address at which an executor is reached instead of its own; it may be called again for a new life.
+	Front func(executor, address string) string
+}
 
 // Site is a store, executors and an instance list that belong together.
 type Site struct {
 	Store     *Store
+	options   Options
 	mutex     sync.Mutex
 	instances map[string]*instance
 	order     []string
 	lives     int
-	starts    []Start
 	upkeep    map[string]int64
+
+	record sync.Mutex // executors report events while they and the site are locked
+	starts []Start
 }
 
 type instance struct {
@@ -38,31 +59,94 @@
 	rack     string
 	executor *Executor // nil while the instance is away or on standby
 	away     bool
+	wave     int64 // of the upkeep that it is away for
 }
 
-// New starts a site with so many instances in its pool and on standby.
+// New starts a site with so many instances in its one pool and on standby.
 func New(instances, standby int) (*Site, error) {
-	s := &Site{Store: NewStore(), instances: map[string]*instance{}, upkeep: map[string]int64{}}
+	return NewWith(Options{Instances: instances, Standby: standby})
+}
+
+// NewWith starts a site.
+func NewWith(o Options) (*Site, error) {
+	if len(o.Pools) == 0 {
+		o.Pools = []string{Pool}
+	}
+	s := &Site{Store: NewStore(), options: o, instances: map[string]*instance{}, upkeep: map[string]int64{}}
 	s.Configure(1)
-	for n := range instances + standby {
-		i := &instance{name: fmt.Sprintf("m-%d", n), pool: Pool, rack: fmt.Sprintf("r%d", n/4)}
-		if n >= instances {
-			i.pool = Standby
-		}
+	add := func(pool string) error {
+		n := len(s.order)
+		i := &instance{name: fmt.Sprintf("m-%d", n), pool: pool, rack: fmt.Sprintf("r%d", n/4)}
 		s.instances[i.name] = i
 		s.order = append(s.order, i.name)
-		if err := s.live(i); err != nil {
-			return nil, errors.Join(err, s.Close())
+		return s.live(i)
+	}
+	for _, pool := range append(slices.Clone(o.Pools), Standby) {
+		n := o.Instances
+		if pool == Standby {
+			n = o.Standby
+		}
+		for range n {
+			if err := add(pool); err != nil {
+				return nil, errors.Join(err, s.Close())
+			}
 		}
 	}
 	return s, nil
 }
 
-// Configure writes a version of the operators' configuration.
-func (s *Site) Configure(version int) {
-	s.Store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"notices","host":%q,"prefix":%q,"kind":"non_idempotent",`+
-		`"timeout-ms":3000,"target-latency-ms":600,"priority":0,"service":%q,"max-attempts":3,"stretch-factor":1.6}],`+
-		`"services":[{"name":%q,"standby":false},{"name":%q,"standby":true}],"limits":{}}`, version, Host, Prefix, Pool, Pool, Standby))
+// Route returns the prefix of a pool's queue.
+func Route(pool string) string {
+	if pool == Pool {
+		return Prefix
+	}
+	return "/" + pool + "/"
+}
+
+// Attempts is how often a task may fail.
+const Attempts = 3
+
+// Configure writes a version of the operators' configuration; extra names further queues of the first pool.
+func (s *Site) Configure(version int, extra ...string) {
+	queues := map[string]string{}
+	services := []map[string]any{{"name": Standby, "standby": true}}
+	for _, pool := range s.options.Pools {
+		queues[Route(pool)] = pool
+		services = append(services, map[string]any{"name": pool, "standby": false})
+	}
+	for _, name := range extra {
+		queues["/"+name+"/"] = s.options.Pools[0]
+	}
+	var routes []map[string]any
+	for prefix, pool := range queues {
+		routes = append(routes, map[string]any{
+			"name": strings.Trim(prefix, "/"), "host": Host, "prefix": prefix, "kind": "non_idempotent", "timeout-ms": 3000,
+			"target-latency-ms": 600, "priority": 0, "service": pool, "max-attempts": Attempts, "stretch-factor": 1.6,
+		})
+	}
+	data, err := json.Marshal(map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{}})
+	if err != nil {
+		panic(fmt.Sprintf("encode configuration: %v", err)) // plain maps always encode
+	}
+	s.Store.Put("op/config", data)
+}
+
+// Wave declares a maintenance wave over all instances.
+func (s *Site) Wave(number int64, deadline time.Duration, most int) {
+	s.mutex.Lock()
+	names := slices.Clone(s.order)
+	s.mutex.Unlock()
+	data, err := json.Marshal(map[string]any{"wave": number, "machines": names, "deadline-s": deadline.Seconds(), "maximum": most})
+	if err != nil {
+		panic(fmt.Sprintf("encode wave: %v", err)) // plain maps always encode
+	}
+	s.Store.Put(fmt.Sprintf("op/wave/%d", number), data)
+}
+
+// WaveCompleted reports whether the daemons say that a wave has ended.
+func (s *Site) WaveCompleted(number int64) bool {
+	value, _ := s.Store.Get(fmt.Sprintf("status/wave/%d", number))
+	return strings.Contains(string(value), "completed")
 }
 
 // live gives an instance in a working pool a new life.
@@ -71,26 +155,62 @@
 		return nil
 	}
 	s.lives++
-	e, err := NewExecutor(fmt.Sprintf("i-%d", s.lives), s.record)
+	e, err := NewExecutor(ExecutorOptions{ID: fmt.Sprintf("i-%d", s.lives), CPU: CPU, Rate: s.options.Rate, Lease: holdMax, Observe: s.observe})
 	if err != nil {
 		return err
 	}
 	i.executor = e
-	const cpu = 4000
-	s.Store.Put("servers/"+e.ID, e.Entry(i.pool, i.name, i.rack, cpu))
+	address := e.Address()
+	if s.options.Front != nil {
+		address = s.options.Front(e.ID, address)
+	}
+	s.Store.Put("servers/"+e.ID, e.entry(i.pool, i.name, i.rack, address))
 	return nil
 }
 
-func (s *Site) record(x Start) {
+func (s *Site) observe(e Event) {
+	if x, ok := e.(Start); ok {
+		s.record.Lock()
+		s.starts = append(s.starts, x)
+		s.record.Unlock()
+	}
+	if s.options.Observe != nil {
+		s.options.Observe(e)
+	}
+}
+
+// Crash ends the life of an executor; another one of its instance begins after a while.
+func (s *Site) Crash(executor string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.starts = append(s.starts, x)
+	for _, i := range s.instances {
+		if i.executor != nil && i.executor.ID == executor {
+			s.leave(i)
+			return
+		}
+	}
+}
+
+// leave ends an instance's life and begins another one after a while.
+func (s *Site) leave(i *instance) {
+	if i.executor != nil {
+		s.Store.Remove("servers/" + i.executor.ID)
+		i.executor.Close()
+		i.executor = nil
+	}
+	i.away = true
+	time.AfterFunc(away, func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		i.away, i.wave = false, 0
+		_ = s.live(i) // a loopback port is always to be had
+	})
 }
 
 // Starts returns the tasks that have begun so far.
 func (s *Site) Starts() []Start {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.record.Lock()
+	defer s.record.Unlock()
 	return slices.Clone(s.starts)
 }
 
@@ -182,20 +302,17 @@
 	}
 	if b.Wave != 0 {
 		s.upkeep[b.Machine] = b.Wave
+		i.wave = b.Wave
+		down := 0
+		for _, x := range s.instances {
+			if x.wave == b.Wave {
+				down++
+			}
+		}
+		s.observe(Upkeep{Instance: b.Machine, Wave: b.Wave, Down: down, At: time.Now()})
 	} else {
 		i.pool = b.Pool
 	}
-	if i.executor != nil {
-		s.Store.Remove("servers/" + i.executor.ID)
-		i.executor.Close()
-		i.executor = nil
-	}
-	i.away = true
-	time.AfterFunc(Away, func() {
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		i.away = false
-		_ = s.live(i) // a loopback port is always to be had
-	})
+	s.leave(i)
 	reply(w, http.StatusOK, nil)
 }
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -20,7 +20,10 @@
 	leases   map[int64]*lease
 	changed  chan struct{}
 	refuse   bool
-	lose     int // answers to changes that will be lost
+	slow     time.Duration // before each answer
+	late     time.Duration // after which a change without an answer is made, if its condition still holds
+	lose     int           // answers to changes that will be lost
+	only     string        // prefix of a key that such a change writes
 	writes   int
 }
 
@@ -76,11 +79,32 @@
 	s.refuse = refuse
 }
 
+// Slow makes the store wait before each call.
+func (s *Store) Slow(d time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.slow = d
+}
+
+// LoseLate makes the store give no answer to the next n changes and make them after d, if their conditions still hold.
+func (s *Store) LoseLate(n int, d time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lose, s.late, s.only = n, d, ""
+}
+
 // LoseAnswers makes the store carry out the next n changes without an answer.
 func (s *Store) LoseAnswers(n int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.lose = n
+	s.lose, s.late, s.only = n, 0, ""
+}
+
+// LoseAnswersTo is LoseAnswers for the changes that write a key with a prefix.
+func (s *Store) LoseAnswersTo(prefix string, n int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lose, s.late, s.only = n, 0, prefix
 }
 
 // DropHistory makes the watches that go on from an earlier revision start anew.
@@ -131,8 +155,9 @@
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mutex.Lock()
-		refuse := s.refuse
+		refuse, slow := s.refuse, s.slow
 		s.mutex.Unlock()
+		time.Sleep(slow)
 		if refuse {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -228,8 +253,19 @@
 		return
 	}
 	s.mutex.Lock()
+	if s.lose > 0 && s.late > 0 {
+		s.lose--
+		time.AfterFunc(s.late, func() {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			s.apply(c)
+		})
+		s.mutex.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	status, answer := s.apply(c)
-	lost := s.lose > 0 && status == http.StatusOK
+	lost := s.lose > 0 && status == http.StatusOK && slices.ContainsFunc(c.Write, func(i item) bool { return strings.HasPrefix(i.Key, s.only) })
 	if lost {
 		s.lose--
 	}
