Ask for instances while a demand rises; let large sites move more of them at once

On the grown sites twelve moves at a time cannot follow surges of 100 instances.

Change: the growth is averaged over 0.5 s, since single jobs let the demand jump, and counts for two seconds at any load; a fifth of a site's instances may be on the move.

Tests that failed first: TestRisingDemandDrawsInstancesEarly, TestLargeSitesMoveMoreAtOnce.

--- a/internal/decision/upkeep/balance.go
+++ b/internal/decision/upkeep/balance.go
@@ -15,9 +15,11 @@
 // Figures of the moves between pools.
 const (
 	headroom  = 1.15                    // capacity per demand that keeps waits short
-	ahead     = 1 * time.Second         // for which a rising demand is taken to go on rising
+	ahead     = 2 * time.Second         // for which a rising demand is taken to go on rising: an instance is on its way as long
+	smooth    = 500 * time.Millisecond  // over which the growth is averaged, since single jobs let the demand jump
 	stay      = 3 * time.Second         // that an instance stays in a pool at least, against moves to and fro
-	mostMoves = 12                      // instances that are on the move at once
+	mostMoves = 12                      // instances that are on the move at once, at least
+	moveShare = 5                       // one of so many instances may be on the move
 	giveUp    = 1500 * time.Millisecond // after which an executor that is not empty yet stays where it is
 	surgeHigh = 0.55                    // share of a pool's capacity above which its demand is a surge
 	surgeLow  = 0.35                    // share below which a surge has ended
@@ -30,7 +32,7 @@
 type demand struct {
 	need   int64 // thousandths of a core, smoothed upward
 	at     time.Duration
-	growth float64       // thousandths of a core a second
+	growth float64       // thousandths of a core a second, smoothed
 	surge  bool          // the demand is high
 	began  time.Duration // of the last surge
 	period time.Duration // between the last two surges, 0 when there was one only
@@ -44,8 +46,9 @@
 	for _, e := range load.Executors {
 		need += e.CPU
 	}
-	if elapsed := (now - d.at).Seconds(); d.at != 0 && elapsed > 0 {
-		d.growth = max(0, float64(need-d.need)/elapsed)
+	if elapsed := now - d.at; d.at != 0 && elapsed > 0 {
+		weight := min(1, float64(elapsed)/float64(smooth))
+		d.growth += weight * (float64(need-d.need)/elapsed.Seconds() - d.growth)
 	}
 	d.need, d.at = need, now
 	share := float64(need) / float64(max(capacity, 1))
@@ -67,9 +70,7 @@
 // wanted returns the capacity that a pool needs soon, in thousandths of a core.
 func (d demand) wanted(now time.Duration) float64 {
 	want := float64(d.need)
-	if d.surge {
-		want += d.growth * ahead.Seconds()
-	}
+	want += max(0, d.growth) * ahead.Seconds()
 	if d.period != 0 {
 		next := d.began + d.period
 		if now > next-moveTime && now < next+surgeTail {
@@ -106,7 +107,7 @@
 		return cmp.Or(cmp.Compare(b.need-b.size, a.need-a.size), cmp.Compare(a.pool, b.pool))
 	})
 	for _, a := range accounts {
-		for a.size < a.need && moving < mostMoves {
+		for a.size < a.need && moving < max(mostMoves, len(s.instances)/moveShare) {
 			i, ok := take(accounts, &standby, a)
 			if !ok {
 				break
--- a/internal/decision/upkeep/upkeep_test.go
+++ b/internal/decision/upkeep/upkeep_test.go
@@ -131,6 +131,35 @@
 	c.Assert(planned, qt.Equals, 1, qt.Commentf("the second instance"))
 }
 
+// Guards against instances that are asked for only once a pool is full: they are on their way for two seconds.
+func TestRisingDemandDrawsInstancesEarly(t *testing.T) {
+	c := qt.New(t)
+	s := upkeep.New(nil)
+	instances := append(append(list("a", 8), list("b", 3)...), list("spare", 6)...)
+	planned := 0
+	for n := range 8 { // 16 cores of 128 more each quarter of a second
+		var effects []upkeep.Effect
+		s, effects = upkeep.Step(s, upkeep.Tick{
+			Now: 10*time.Second + time.Duration(n)*250*time.Millisecond, Directory: config(), Instances: instances,
+			Loads: map[string]port.Load{"a": load("a", 8, int64(n*cores/8), 0), "b": load("b", 3, cores/3, 0)},
+		})
+		planned += len(moves(effects))
+		if n == 4 {
+			c.Assert(planned > 0, qt.IsTrue, qt.Commentf("half of the pool is in use, and all of it will be in a second"))
+		}
+	}
+}
+
+// Guards against a large site that moves as few instances at a time as a small one.
+func TestLargeSitesMoveMoreAtOnce(t *testing.T) {
+	c := qt.New(t)
+	instances := append(append(list("a", 50), list("b", 50)...), list("spare", 60)...)
+	_, effects := upkeep.Step(upkeep.New(nil), upkeep.Tick{Now: time.Minute, Directory: config(), Instances: instances, Loads: map[string]port.Load{
+		"a": load("a", 50, cores, 100*cores), "b": load("b", 50, cores, 0),
+	}})
+	c.Assert(moves(effects), qt.HasLen, 32)
+}
+
 // Guards against moves to and fro of a pool that has what it needs.
 func TestCalmPoolsKeepTheirInstances(t *testing.T) {
 	c := qt.New(t)
