--- /dev/null
+++ b/internal/command/jobs/doc.go
@@ -0,0 +1,2 @@
+// Package jobs holds the subcommand that shows how jobs stand on the users' platform.
+package jobs
--- a/internal/core/logline/writer.go
+++ b/internal/core/logline/writer.go
@@ -11,10 +11,12 @@
 // Bounds of the log, which keep its cost small while much happens.
 const (
 	Capacity  = 1024            // lines that wait for a slow reader
-	PerSecond = 200             // lines written in a second
+	PerSecond = 400             // lines written in a second; owners reach it in a few seconds of the busiest days
 	flushWait = 2 * time.Second // for the lines that wait when the process ends
 )
 
+const timeFormat = "2006-01-02T15:04:05.000Z" // of the other lines, so that logs can be put in order
+
 // Writer queues lines for a goroutine that writes them; it drops and counts lines beyond the bounds.
 type Writer struct {
 	lines   chan []byte
@@ -67,7 +69,8 @@
 	var reported int64
 	for line := range l.lines {
 		if n := l.dropped.Load(); n > reported && len(l.lines) == 0 {
-			_, _ = fmt.Fprintf(w, "level=WARN msg=\"log lines left out\" event=log.dropped lines=%d\n", n-reported)
+			_, _ = fmt.Fprintf(w, "time=%s level=WARN msg=\"log lines left out\" event=log.dropped lines=%d\n",
+				time.Now().UTC().Format(timeFormat), n-reported)
 			reported = n
 		}
 		_, _ = w.Write(line) // there is nowhere to report it to
--- a/internal/decision/upkeep/balance.go
+++ b/internal/decision/upkeep/balance.go
@@ -30,7 +30,7 @@
 
 // demand is what was seen of a pool's load. It is immutable.
 type demand struct {
-	need   int64 // thousandths of a core, smoothed upward
+	need   int64 // thousandths of a core
 	at     time.Duration
 	growth float64       // thousandths of a core a second, smoothed
 	surge  bool          // the demand is high
