--- a/internal/decision/schedule/advice_test.go
+++ b/internal/decision/schedule/advice_test.go
@@ -23,14 +23,15 @@
 		effects := p.step(schedule.Tick{Now: p.now, Unix: p.now.Milliseconds()})
 		effects = append(effects, p.step(schedule.Pump{Now: p.now})...)
 		for _, e := range effects {
-			switch e := e.(type) {
-			case schedule.StartRun:
-				starts = append(starts, e.Start)
-			case schedule.Advise:
-				asked = append(asked, e.Executors)
-			case schedule.Commit:
+			if x, ok := e.(schedule.StartRun); ok {
+				starts = append(starts, x.Start)
+			}
+			if x, ok := e.(schedule.Advise); ok {
+				asked = append(asked, x.Executors)
+			}
+			if x, ok := e.(schedule.Commit); ok {
 				p.now += time.Millisecond
-				p.step(schedule.Committed{Now: p.now, Number: e.Number})
+				p.step(schedule.Committed{Now: p.now, Number: x.Number})
 			}
 		}
 		return starts, asked
