Give the soak's daemons ports that outgoing connections do not take; ask fewer pools at a time on large sites

The ports come from the block that the failure tests use.

Sites of up to five pools are looked at as before.

--- a/internal/link/pool/fleet.go
+++ b/internal/link/pool/fleet.go
@@ -21,7 +21,8 @@
 
 // Times of the fleet's duty.
 const (
-	fleetEvery   = 120 * time.Millisecond // between two looks at the loads of the pools
+	fleetEvery   = 120 * time.Millisecond // between two looks at the loads of the pools, at least
+	fleetEach    = 24 * time.Millisecond  // between two looks for each pool: an owner of the fleet asks 42 pools a second at most
 	listTimeout  = 900 * time.Millisecond
 	loadTimeout  = 200 * time.Millisecond
 	vacateFor    = 1200 * time.Millisecond // that a pool's owner keeps executors empty after each call
@@ -118,10 +119,18 @@
 			}
 			f.step(ctx, upkeep.Tick{Now: clock.Boot(), Directory: d, Instances: instances, Loads: f.loads(ctx, d)})
 		}
-		pause.Reset(fleetEvery)
+		pause.Reset(lookPause(d))
 	}
 }
 
+// lookPause returns the time between two looks at the pools.
+func lookPause(d tenure.Directory) time.Duration {
+	if d.Config == nil {
+		return fleetEvery
+	}
+	return max(fleetEvery, time.Duration(len(d.Config.Pools))*fleetEach)
+}
+
 // failed reports whether a call fails in another way than the last one of its kind.
 func (f *fleet) failed(call string, err error) bool {
 	if err == nil {
--- a/internal/proof/process/system.go
+++ b/internal/proof/process/system.go
@@ -111,7 +111,7 @@
 
 // writeBase writes a base file whose executors listen on free ports.
 func (s *System) writeBase() error {
-	ports, err := freeBlock(portBlock + s.options.Services*s.options.Executors)
+	ports, err := FreeBlock(portBlock + s.options.Services*s.options.Executors)
 	if err != nil {
 		return err
 	}
@@ -152,8 +152,9 @@
 	highestPort = 32_000
 )
 
-// freeBlock returns the first of n consecutive ports that were free a moment ago.
-func freeBlock(n int) (int, error) {
+// FreeBlock returns the first of n consecutive loopback ports that were free a moment ago. Outgoing connections do not
+// take them while a process that uses them is down.
+func FreeBlock(n int) (int, error) {
 	for range 50 {
 		first := lowestPort + rand.IntN(highestPort-lowestPort-n)
 		if blockFree(first, n) {
--- a/internal/proof/soak/fault.go
+++ b/internal/proof/soak/fault.go
@@ -234,17 +234,18 @@
 	lostChanges = 20                      // changes without an answer at most, in one fault
 )
 
-// name names a fault in the ledger; a planned stop names its daemon, and a configuration is planned work as well.
-func name(f Fault) string {
+// name names a fault in the ledger and says whether it is planned work; a stop in order names its daemon.
+func name(f Fault) (name string, planned bool) {
 	if t, ok := f.(Terminate); ok {
-		return fmt.Sprintf("terminate daemon-%d", t.Daemon+1)
+		return terminated(daemonName(t.Daemon)), true
 	}
-	if _, ok := f.(Configure); ok {
-		return "terminate nobody"
-	}
-	return fmt.Sprintf("%T", f)
+	_, planned = f.(Configure)
+	return fmt.Sprintf("%T", f), planned
 }
 
+// terminated names the stop of a daemon.
+func terminated(daemon string) string { return "Terminate " + daemon }
+
 func (s *soak) executor(n int) (*site.Executor, bool) {
 	all := s.system.site.Executors()
 	if n >= len(all) {
--- a/internal/proof/soak/ledger.go
+++ b/internal/proof/soak/ledger.go
@@ -45,6 +45,7 @@
 // span is a time with a disturbance; its end is open while it lasts.
 type span struct {
 	name     string
+	planned  bool // a stop in order or a change of the configuration, which cut no request
 	from, to time.Duration
 }
 
@@ -80,11 +81,11 @@
 }
 
 // disturbed notes the begin of a disturbance and returns what notes its end.
-func (l *ledger) disturbed(name string) (end func()) {
+func (l *ledger) disturbed(name string, planned bool) (end func()) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	index := len(l.faults)
-	l.faults = append(l.faults, span{name: name, from: l.now(), to: 1 << 62})
+	l.faults = append(l.faults, span{name: name, planned: planned, from: l.now(), to: 1 << 62})
 	return func() {
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
@@ -92,19 +93,16 @@
 	}
 }
 
-// calm reports whether there was no disturbance since a time, but planned ones.
-func (l *ledger) calm(since time.Duration, planned string) bool {
+// calm reports whether there was no disturbance since a time, planned ones left out of account or not.
+func (l *ledger) calm(since time.Duration, leavePlanned bool) bool {
 	for _, f := range l.faults {
-		if f.to > since && !strings.HasPrefix(f.name, planned) {
+		if f.to > since && !(f.planned && leavePlanned) {
 			return false
 		}
 	}
 	return true
 }
 
-// planned is the begin of no disturbance's name.
-const nothing = "\x00"
-
 // observe takes what back ends have done.
 func (l *ledger) observe(e site.Event) {
 	l.mutex.Lock()
@@ -160,7 +158,7 @@
 		l.note("REFUSED", "%s starts on %s, and all %d attempts to hand it in were refused", e.Task, e.Executor, j.attempts)
 	case l.failures[e.Task] >= site.Attempts && !j.job.Steps[step].Lasting:
 		l.note("BUDGET", "%s run %d starts after %d failed runs", e.Task, e.Run, l.failures[e.Task])
-	case j.cancelled != 0 && l.now() > j.cancelled+cancelBound && l.calm(j.cancelled, nothing):
+	case j.cancelled != 0 && l.now() > j.cancelled+cancelBound && l.calm(j.cancelled, false):
 		l.note("UNASKED", "%s run %d starts %v after its cancellation", e.Task, e.Run, l.now()-j.cancelled)
 	}
 	for _, before := range j.job.Steps[step].After {
@@ -275,11 +273,11 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.answers["cut"]++
-	if l.now()-sent < lossSlack || !l.calm(sent-contactBound, "terminate") {
+	if l.now()-sent < lossSlack || !l.calm(sent-contactBound, true) {
 		return
 	}
 	for _, f := range l.faults {
-		if f.name == "terminate "+d && f.from <= l.now() && f.to > sent {
+		if f.name == terminated(d) && f.from <= l.now() && f.to > sent {
 			l.note("LOST", "%s cut a request of %v ago while it stopped: %v", d, l.now()-sent, err)
 			return
 		}
--- a/internal/proof/soak/system.go
+++ b/internal/proof/soak/system.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"teaselloft/internal/proof/process"
 	"teaselloft/internal/standin/site"
 )
 
@@ -68,8 +69,12 @@
 	if s.cloud, err = s.serve(s.site.Instances()); err != nil {
 		return s, err
 	}
+	first, err := process.FreeBlock(portsEach * o.Daemons)
+	if err != nil {
+		return s, err
+	}
 	for n := range o.Daemons {
-		d, err := s.newDaemon(n)
+		d, err := s.newDaemon(n, first+portsEach*n)
 		if err != nil {
 			return s, err
 		}
@@ -117,17 +122,20 @@
 	return l.Addr().String(), nil
 }
 
+func daemonName(n int) string { return fmt.Sprintf("daemon-%d", n+1) }
+
+// portsEach is how many ports a daemon listens on: for callers, the balancer, other daemons and metrics.
+const portsEach = 4
+
 // newDaemon writes the settings of a daemon, whose traffic goes through proxies.
-func (s *system) newDaemon(n int) (*daemon, error) {
-	ports, err := freePorts(4)
-	if err != nil {
-		return nil, err
-	}
-	d := &daemon{name: fmt.Sprintf("daemon-%d", n+1), front: ports[0], ready: ports[1]}
+func (s *system) newDaemon(n, first int) (*daemon, error) {
+	port := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", first+n) }
+	d := &daemon{name: daemonName(n), front: port(0), ready: port(1)}
+	var err error
 	if d.store, err = NewProxy(s.store); err != nil {
 		return nil, err
 	}
-	if d.peers, err = NewProxy(ports[2]); err != nil {
+	if d.peers, err = NewProxy(port(2)); err != nil {
 		return nil, err
 	}
 	listen := func(address string) map[string]any { return map[string]any{"address": address} }
@@ -135,9 +143,9 @@
 		"name": d.name, "zone": "z", "site": "soak", "log": "INFO",
 		"plugins": map[string]any{
 			"adapter": map[string]string{"store": d.store.Address(), "cloud": s.cloud},
-			"front":   map[string]any{"listen": listen(d.front), "ready": listen(d.ready), "metrics": listen(ports[3])},
+			"front":   map[string]any{"listen": listen(d.front), "ready": listen(d.ready), "metrics": listen(port(3))},
 			"member":  map[string]any{"address": d.peers.Address(), "power": 1000},
-			"peer":    map[string]any{"listen": listen(ports[2])},
+			"peer":    map[string]any{"listen": listen(port(2))},
 			"pool":    map[string]string{"lease": "6s"}, "follow": map[string]any{}, "desk": map[string]any{},
 		},
 	}, "", "  ")
@@ -149,20 +157,6 @@
 
 func (s *system) path(d *daemon, suffix string) string { return filepath.Join(s.dir, d.name+suffix) }
 
-// freePorts returns loopback addresses that nobody listened on a moment ago.
-func freePorts(n int) ([]string, error) {
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // binding an address does not wait
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, nil
-}
-
 // start runs the process of a daemon; its log is appended to NAME.log.
 func (s *system) start(d *daemon) error {
 	log, err := os.OpenFile(s.path(d, ".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
