--- a/internal/proof/soak/ledger.go
+++ b/internal/proof/soak/ledger.go
@@ -96,7 +96,7 @@
 // calm reports whether there was no disturbance since a time, planned ones left out of account or not.
 func (l *ledger) calm(since time.Duration, leavePlanned bool) bool {
 	for _, f := range l.faults {
-		if f.to > since && !(f.planned && leavePlanned) {
+		if f.to > since && (!f.planned || !leavePlanned) {
 			return false
 		}
 	}
