--- a/cmd/teaselloft/main.go
+++ b/cmd/teaselloft/main.go
@@ -24,6 +24,7 @@
 	_ "teaselloft/internal/link/plan"
 	_ "teaselloft/internal/link/platform"
 	_ "teaselloft/internal/link/pool"
+	_ "teaselloft/internal/link/relay"
 	_ "teaselloft/internal/link/route"
 	_ "teaselloft/platform"
 )
--- /dev/null
+++ b/internal/core/guard/doc.go
@@ -0,0 +1,2 @@
+// Package guard turns panics into errors at the boundaries where input from outside the process is handled.
+package guard
--- a/internal/decision/schedule/advice.go
+++ b/internal/decision/schedule/advice.go
@@ -17,7 +17,7 @@
 
 // ticketsFor returns the tickets for a task set by executor, nil if its queue needs none; ok is false while no valid
 // advice is known.
-func (t *transition) ticketsFor(j jobState, index int, candidates []*candidate) (byExecutor map[string]string, ok bool) {
+func (t *transition) ticketsFor(j jobState, index int, candidates []candidate) (byExecutor map[string]string, ok bool) {
 	if j.queue.Advice == nil {
 		return nil, true
 	}
@@ -32,7 +32,7 @@
 	return nil, false
 }
 
-func (t *transition) requestAdvice(j jobState, index int, candidates []*candidate) {
+func (t *transition) requestAdvice(j jobState, index int, candidates []candidate) {
 	ts := j.taskSets[index]
 	var ids []string
 	for _, c := range candidates {
--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"teaselloft/internal/model/cluster"
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/port"
 )
@@ -16,11 +17,15 @@
 		return
 	}
 	t.s.lastCommit++
-	p := pendingCommit{number: t.s.lastCommit, sent: t.s.now}
+	p := pendingCommit{number: t.s.lastCommit, sent: t.s.now, used: t.s.usedChanged}
 	c := Commit{Number: p.number}
+	if p.used {
+		c.Writes = append(c.Writes, t.s.usedRecord())
+		t.s.usedChanged = false
+	}
 	for i := t.s.changed.Iterator(); !i.Done(); {
 		gen, id, _ := i.Next()
-		j, ok := t.s.jobs.Get(id)
+		j, ok := t.s.job(id)
 		if !ok {
 			t.s.changed = t.s.changed.Delete(gen)
 			continue
@@ -39,12 +44,20 @@
 	t.emit(c)
 }
 
-// awaitsConfirmation reports whether an executor can't be used until a write has confirmed the ownership of the pool.
-// A commit without records is enough for that.
+// awaitsConfirmation reports whether an executor can't be used until a write has confirmed the ownership of the pool, or
+// the record of the used executors is out of date. A commit without records of jobs is enough for both.
 func (s State) awaitsConfirmation() bool {
-	waiting := false
-	s.eachExecutor(func(e executorState) { waiting = waiting || e.open && e.openedAt >= s.confirmedAt })
-	return waiting
+	return s.usedChanged || s.lastOpenedAt != 0 && s.lastOpenedAt >= s.confirmedAt
+}
+
+// usedRecord returns the write of the record that names all executors which may have runs of this owner. It contains
+// every executor before that is usable, because usable requires a later commit.
+func (s State) usedRecord() port.Write {
+	var used cluster.Used
+	s.eachExecutor(func(e *executorState) {
+		used.Executors = append(used.Executors, cluster.UsedExecutor{ID: e.info.ID, Address: e.info.Address, Instance: e.info.Instance, Born: e.born})
+	})
+	return port.Write{Key: cluster.PrefixUsed + s.Pool, Value: job.Encode(used)}
 }
 
 // recordChanges returns the writes and deletions that bring the stored records of a job up to date.
@@ -78,6 +91,7 @@
 	t.s.lastCommitResultAt = m.Now
 	if errors.Is(m.Err, port.ErrRefused) {
 		t.s.lastCommitResultAt = m.Now + refusedWriteBackoff
+		t.s.usedChanged = t.s.usedChanged || p.used
 		for _, x := range p.jobs {
 			t.revert(x)
 		}
@@ -127,7 +141,7 @@
 	for i, x := range p.jobs {
 		t.answer(port.ErrUnknownOutcome, x.cancelTokens)
 		p.jobs[i].cancelTokens = nil
-		if j, ok := t.s.jobs.Get(x.id); ok && !x.stored {
+		if j, ok := t.s.job(x.id); ok && !x.stored {
 			t.answer(port.ErrUnknownOutcome, j.submitTokens)
 			j.submitTokens = nil
 			t.s = t.s.withJob(j)
@@ -136,7 +150,7 @@
 	t.s.inFlight = &p
 	for i := t.s.changed.Iterator(); !i.Done(); {
 		gen, id, _ := i.Next()
-		j, ok := t.s.jobs.Get(id)
+		j, ok := t.s.job(id)
 		if !ok || j.stored || p.includes(id) {
 			continue
 		}
@@ -150,7 +164,7 @@
 
 // revert restores the state of a job after the write that contained it had no effect.
 func (t *transition) revert(x pendingJob) {
-	j, ok := t.s.jobs.Get(x.id)
+	j, ok := t.s.job(x.id)
 	if !ok {
 		return
 	}
@@ -189,7 +203,7 @@
 
 // markStored applies a successful write to a job and answers the callers that waited for it.
 func (t *transition) markStored(x pendingJob) {
-	j, ok := t.s.jobs.Get(x.id)
+	j, ok := t.s.job(x.id)
 	if !ok {
 		return
 	}
@@ -246,8 +260,11 @@
 		gen, _, _ := first.Next()
 		stored = gen - 1
 	}
-	t.s.eachExecutor(func(e executorState) {
-		advanced := false
+	t.s.eachExecutor(func(x *executorState) {
+		if len(x.pendingAcks) == 0 {
+			return
+		}
+		e, advanced := *x, false
 		for len(e.pendingAcks) > 0 && e.pendingAcks[0].generation <= stored {
 			e.ackedEnd, advanced = e.pendingAcks[0].number, true
 			e.pendingAcks = e.pendingAcks[1:]
--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -16,15 +16,16 @@
 	listed := map[string]bool{}
 	for _, x := range list {
 		listed[x.ID] = true
-		e, ok := t.s.executors.Get(x.ID)
+		e, ok := t.s.executor(x.ID)
 		if !ok {
 			t.addExecutor(x)
 			continue
 		}
 		t.updateExecutor(e, x)
 	}
-	t.s.eachExecutor(func(e executorState) {
-		if e.listed && !listed[e.info.ID] {
+	t.s.eachExecutor(func(x *executorState) {
+		if x.listed && !listed[x.info.ID] {
+			e := *x
 			e.listed = false
 			t.s = t.s.withExecutor(e)
 			t.emit(note(slog.LevelInfo, "executor.unlisted", "executor", e.info.ID, "runs", len(e.runs)))
@@ -35,6 +36,7 @@
 
 func (t *transition) addExecutor(x site.Executor) {
 	t.emit(Connect{Executor: x}, note(slog.LevelInfo, "executor.listed", "executor", x.ID, "pool", x.Pool, "instance", x.Instance))
+	t.s.usedChanged = true
 	t.sendHeartbeat(executorState{info: x, listed: true, born: x.Born}, 0, 0, false)
 }
 
@@ -63,6 +65,7 @@
 func (t *transition) newIncarnation(e executorState, born int64) executorState {
 	t.emit(note(slog.LevelInfo, "executor.reborn", "executor", e.info.ID, "born", born, "before", e.born, "runs", len(e.runs)))
 	e = t.requeueAll(e)
+	t.s.usedChanged = true
 	return executorState{info: e.info, listed: e.listed, born: born, heartbeatInFlight: e.heartbeatInFlight}
 }
 
@@ -88,7 +91,7 @@
 }
 
 func (t *transition) handleHeartbeatResult(m HeartbeatResult) {
-	e, ok := t.s.executors.Get(m.Executor)
+	e, ok := t.s.executor(m.Executor)
 	if !ok {
 		return
 	}
@@ -128,6 +131,7 @@
 	e.failingSince, e.clock, e.clockReadAt = 0, report.Clock, m.Now
 	if !e.open {
 		e.open, e.openedAt = true, m.Now
+		t.s.lastOpenedAt = m.Now
 		t.emit(note(slog.LevelInfo, "executor.open", "executor", e.info.ID, "active", len(report.Runs), "ends", len(report.Ended)))
 	}
 	t.s.placementDue = t.s.placementDue || len(report.Ended) > 0
@@ -147,7 +151,7 @@
 // planNextHeartbeat sends the next heartbeat at once, or defers it until the ended runs in the last report are stored,
 // for HeartbeatInterval at most.
 func (t *transition) planNextHeartbeat(id string, generationBefore uint64) {
-	e, _ := t.s.executors.Get(id)
+	e, _ := t.s.executor(id)
 	if e.lastEnd > e.ackedEnd {
 		if t.s.generation == generationBefore && t.s.changed.Len() == 0 && t.s.inFlight == nil {
 			e.ackedEnd, e.pendingAcks = e.lastEnd, nil
@@ -179,8 +183,9 @@
 	for i := t.s.jobs.Iterator(); !i.Done(); {
 		id, j, _ := i.Next()
 		if j.recovered {
-			j.recovered = false
-			t.s = t.s.withJob(j)
+			settled := *j
+			settled.recovered = false
+			t.s = t.s.withJob(settled)
 			t.s = t.s.withAllRanks(id)
 		}
 	}
@@ -188,7 +193,7 @@
 
 // handleEndedRun processes the end of a run, unless it was processed before.
 func (t *transition) handleEndedRun(id string, end port.EndedRun) {
-	e, _ := t.s.executors.Get(id)
+	e, _ := t.s.executor(id)
 	if end.Number <= e.lastEnd {
 		return
 	}
@@ -242,13 +247,13 @@
 		return taskState{phase: done, run: x.run, failedRuns: x.failedRuns}
 	})
 	if x.phase == starting || x.phase == running { // an earlier run has finished, so the current one is not needed
-		if e, ok := t.s.executors.Get(other); ok {
+		if e, ok := t.s.executor(other); ok {
 			if i := e.findRun(task, run); i >= 0 {
 				t.s = t.s.withExecutor(t.stopRun(e, i))
 			}
 		}
 	}
-	j, _ := t.s.jobs.Get(task.Job)
+	j, _ := t.s.job(task.Job)
 	i, _ := j.taskSetIndex(task)
 	if j.taskSets[i].done == len(j.taskSets[i].tasks) {
 		if j.complete() && !j.outcome.Final() {
@@ -256,7 +261,7 @@
 		}
 		t.s = t.s.withJob(j)
 		t.s = t.s.withAllRanks(task.Job)
-		j, _ = t.s.jobs.Get(task.Job)
+		j, _ = t.s.job(task.Job)
 	}
 	t.s = t.s.withChange(j)
 }
@@ -295,14 +300,14 @@
 		t.emit(note(slog.LevelInfo, "job.failed", "job", string(j.sub.ID), "task", end.Task.String(), "attempts", len(x.failedRuns), "executor", id))
 		t.s = t.s.withJob(j)
 		t.s = t.s.withAllRanks(end.Task.Job)
-		j, _ = t.s.jobs.Get(end.Task.Job)
+		j, _ = t.s.job(end.Task.Job)
 	}
 	t.s = t.s.withChange(j)
 }
 
 // recordFault counts a failed run against an executor and quarantines the executor at the limit.
 func (t *transition) recordFault(id string) {
-	e, _ := t.s.executors.Get(id)
+	e, _ := t.s.executor(id)
 	e.faults++
 	if e.faults >= quarantineFaults {
 		e.faults = quarantineFaults - 1 // a further failed run starts the next quarantine
--- a/internal/decision/schedule/history_test.go
+++ b/internal/decision/schedule/history_test.go
@@ -28,7 +28,8 @@
 
 // Guards against lost jobs, tasks that run twice, overcommitted executors, wrong outcomes, and starts that violate the
 // step order or follow a cancellation, a refusal or the last attempt. The faults are lost and late orders, silent and
-// restarting executors, refused writes, and takeovers from owners that are frozen or still running.
+// restarting executors, executors whose entries
+// have expired although they run, refused writes, and takeovers from owners that are frozen or still running.
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t, rapid.IntRange(2, 4).Draw(t, "executors"))
@@ -44,7 +45,7 @@
 
 func (sim *simulation) randomAction(serial *int) {
 	id := fmt.Sprintf("x%d", rapid.IntRange(0, len(sim.executors)-1).Draw(sim.t, "executor"))
-	switch rapid.IntRange(0, 13).Draw(sim.t, "action") {
+	switch rapid.IntRange(0, 14).Draw(sim.t, "action") {
 	case 0, 1, 2, 3, 4:
 		sim.submit(sim.current(), drawSubmission(sim.t, *serial))
 		*serial++
@@ -74,6 +75,8 @@
 		}
 	case 13:
 		sim.storeRefuses = rapid.Bool().Draw(sim.t, "refuses")
+	case 14:
+		sim.executors[id].unlisted = rapid.Bool().Draw(sim.t, "unlisted")
 	}
 }
 
@@ -81,7 +84,7 @@
 func (sim *simulation) clearFaults() {
 	sim.lossRate, sim.storeRefuses = 0, false
 	for _, x := range sim.executors {
-		x.silentUntil = 0
+		x.silentUntil, x.unlisted = 0, false
 	}
 	for _, o := range sim.owners {
 		o.frozenUntil = min(o.frozenUntil, sim.now)
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -13,49 +13,61 @@
 
 // candidate is an executor with its free resources. Unlike the state, it is changed in place during a cycle.
 type candidate struct {
-	executor executorState
+	executor *executorState
 	free     job.Resources
 }
 
 // candidates returns the executors on which tasks may be started.
-func (s State) candidates() []*candidate {
-	var all []*candidate
-	s.eachExecutor(func(e executorState) {
+func (s State) candidates() []candidate {
+	all := make([]candidate, 0, s.executors.Len())
+	s.eachExecutor(func(e *executorState) {
 		if e.usable(s.now, s.confirmedAt) {
-			all = append(all, &candidate{executor: e, free: e.info.Capacity.Minus(e.allocated)})
+			all = append(all, candidate{executor: e, free: e.info.Capacity.Minus(e.allocated)})
 		}
 	})
 	return all
 }
 
+// maxMisses is the number of task sets without a task that fits, after which a cycle ends. It bounds the time of a cycle
+// during a surge, when thousands of task sets wait for the same executors.
+const maxMisses = 100
+
 // placeReady starts ready tasks in order of rank as far as there are free resources.
 func (t *transition) placeReady() {
 	if !t.s.placementDue {
 		return
 	}
 	t.s.placementDue = false
+	if t.s.ready.Len() == 0 {
+		return
+	}
 	candidates := t.s.candidates()
 	if len(candidates) == 0 {
 		return
 	}
-	free := maxFree(candidates)
-	for i := t.s.ready.Iterator(); !i.Done(); {
+	free, misses := maxFree(candidates), 0
+	for i := t.s.ready.Iterator(); !i.Done() && misses < maxMisses; {
 		r, ref, _ := i.Next()
 		if r.class == classInTime && t.s.isLate(ref) {
 			t.s = t.s.withRank(ref.job, ref.index) // moves it to the late class, for the next cycle
 			t.s.placementDue = true
 			continue
 		}
-		if t.placeTaskSet(candidates, ref, free) {
+		switch t.placeTaskSet(candidates, ref, free) {
+		case placed:
 			free = maxFree(candidates)
+		case noRoom:
+			misses++
+		case deferred:
 		}
 	}
 }
 
 // maxFree returns for each resource the largest amount that is free on any candidate.
-func maxFree(candidates []*candidate) job.Resources {
+func maxFree(candidates []candidate) job.Resources {
 	var r job.Resources
-	for _, c := range candidates {
+	for i := range candidates {
+		c := &candidates[i]
 		r = job.Resources{CPU: max(r.CPU, c.free.CPU), Memory: max(r.Memory, c.free.Memory), GPU: max(r.GPU, c.free.GPU)}
 	}
 	return r
@@ -63,38 +75,53 @@
 
 // isLate reports whether a task set can no longer meet the objective of its job.
 func (s State) isLate(ref taskSetRef) bool {
-	j, ok := s.jobs.Get(ref.job)
+	j, ok := s.job(ref.job)
 	return ok && s.now > j.latestStart(j.taskSets[ref.index])
 }
 
-// placeTaskSet starts tasks of a task set and reports whether it has started any. The argument free holds the largest
-// free amount of each resource on any candidate.
-func (t *transition) placeTaskSet(candidates []*candidate, ref taskSetRef, free job.Resources) (started bool) {
-	j, ok := t.s.jobs.Get(ref.job)
+// placeResult is what came of the attempt to place a task set.
+type placeResult int
+
+const (
+	placed   placeResult = iota // at least one task was started
+	noRoom                      // no executor has room for a task
+	deferred                    // it waits for advice
+)
+
+// placeTaskSet starts tasks of a task set. The argument free holds the largest free amount of each resource on any
+// candidate.
+func (t *transition) placeTaskSet(candidates []candidate, ref taskSetRef, free job.Resources) placeResult {
+	j, ok := t.s.job(ref.job)
 	if !ok {
-		return false
+		return deferred
 	}
 	ts := j.taskSets[ref.index]
 	step := j.sub.Steps[ts.step]
 	if !step.Demand().FitsIn(free) {
-		return false
+		return noRoom
 	}
 	tickets, ok := t.ticketsFor(j, ref.index, candidates)
 	if !ok {
-		return false
+		return deferred
 	}
 	p := placement{step: step, need: step.Demand(), taskSet: ts, job: j, tickets: tickets, rack: t.s.rackOf(ts), now: t.s.now}
+	var started bool
 	if step.Gang {
-		return t.placeGang(candidates, p)
+		started = t.placeGang(candidates, p)
+	} else {
+		started = t.placeTasks(candidates, p)
+	}
+	if started {
+		return placed
 	}
-	return t.placeTasks(candidates, p)
+	return noRoom
 }
 
 // rackOf returns the rack of the first running task of a task set, or an empty string.
 func (s State) rackOf(ts taskSet) string {
 	for _, x := range ts.tasks {
 		if x.executor != "" && x.phase != waiting && x.phase != done {
-			if e, ok := s.executors.Get(x.executor); ok {
+			if e, ok := s.executor(x.executor); ok {
 				return e.info.Rack()
 			}
 		}
@@ -103,8 +130,8 @@
 }
 
 // placeTasks starts the waiting tasks of a task set one by one, as far as there are free resources.
-func (t *transition) placeTasks(candidates []*candidate, p placement) (started bool) {
-	var placed []string
+func (t *transition) placeTasks(candidates []candidate, p placement) (started bool) {
+	var names []string
 	for index, x := range p.taskSet.tasks {
 		if x.phase != waiting {
 			continue
@@ -119,18 +146,18 @@
 		}
 		t.startTask(c, p, index, x.run)
 		p.rack = c.executor.info.Rack()
-		placed = append(placed, fmt.Sprintf("%d:%s", index, c.executor.info.ID))
+		names = append(names, fmt.Sprintf("%d:%s", index, c.executor.info.ID))
 	}
-	if len(placed) == 0 {
+	if len(names) == 0 {
 		return false
 	}
 	t.emit(note(slog.LevelInfo, "step.started", "job", string(p.job.sub.ID), "occurrence", p.taskSet.occurrence, "step", p.taskSet.step,
-		"tasks", strings.Join(placed, ","), "left", p.taskSet.waiting-len(placed), "waited", t.s.now-p.taskSet.due, "late", t.s.now > p.job.latestStart(p.taskSet)))
+		"tasks", strings.Join(names, ","), "left", p.taskSet.waiting-len(names), "waited", t.s.now-p.taskSet.due, "late", t.s.now > p.job.latestStart(p.taskSet)))
 	return true
 }
 
 // placeGang starts all tasks of a gang with the same run number, or none of them.
-func (t *transition) placeGang(candidates []*candidate, p placement) bool {
+func (t *transition) placeGang(candidates []candidate, p placement) bool {
 	var run uint64
 	for _, x := range p.taskSet.tasks {
 		if x.phase != waiting || x.notBefore > t.s.now {
@@ -147,12 +174,14 @@
 		}
 		p.rack = c.executor.info.Rack()
 		c.free = c.free.Minus(p.need)
-		c.executor.runs = append(slices.Clip(c.executor.runs), runState{task: job.Task{Job: p.job.sub.ID, Occurrence: p.taskSet.occurrence, Step: p.taskSet.step}})
+		reserved := *c.executor
+		reserved.runs = append(slices.Clip(reserved.runs), runState{task: job.Task{Job: p.job.sub.ID, Occurrence: p.taskSet.occurrence, Step: p.taskSet.step}})
+		c.executor = &reserved
 		chosen = append(chosen, c)
 	}
 	for _, c := range chosen {
 		c.free = c.free.Plus(p.need)
-		c.executor.runs = c.executor.runs[:len(c.executor.runs)-1]
+		c.executor, _ = t.s.executors.Get(c.executor.info.ID)
 	}
 	if len(chosen) < len(p.taskSet.tasks) {
 		return false
@@ -178,10 +207,11 @@
 const slownessLimit = 2.0
 
 // best returns the feasible candidate with the lowest score for a task, or nil if there is none.
-func (p placement) best(candidates []*candidate, x taskState) *candidate {
+func (p placement) best(candidates []candidate, x taskState) *candidate {
 	var best *candidate
 	var bestScore int64
-	for _, c := range candidates {
+	for i := range candidates {
+		c := &candidates[i]
 		if !p.feasible(c) {
 			continue
 		}
@@ -255,7 +285,7 @@
 func (t *transition) startTask(c *candidate, p placement, index int, lastRun uint64) {
 	task := job.Task{Job: p.job.sub.ID, Occurrence: p.taskSet.occurrence, Step: p.taskSet.step, Index: index}
 	run := max(lastRun, (t.s.Epoch-1)*runsPerEpoch) + 1
-	e, _ := t.s.executors.Get(c.executor.info.ID)
+	e, _ := t.s.executor(c.executor.info.ID)
 	s := port.Start{
 		Task: task, Run: run, Spec: p.job.sub.Spec, FencingToken: t.s.Epoch,
 		Expires: e.localTime(t.s.now) + t.s.policy.StartExpiry.Milliseconds(),
@@ -267,13 +297,13 @@
 		longRunning: p.step.LongRunning, serving: p.step.LatencySensitive(), bestEffort: p.step.BestEffort, latencyTarget: p.step.LatencyTarget, estimate: p.step.Estimate,
 	})
 	t.s = t.s.withExecutor(e)
-	c.executor, c.free = e, c.free.Minus(p.need)
+	c.executor, c.free = &e, c.free.Minus(p.need)
 	t.updateTask(task, func(x taskState) taskState {
 		s.Checkpoint = x.checkpoint
 		x.phase, x.run, x.executor, x.since = starting, run, e.info.ID, t.s.now
 		return x
 	})
-	if j, ok := t.s.jobs.Get(task.Job); ok && !j.started {
+	if j, ok := t.s.job(task.Job); ok && !j.started {
 		j.started = true
 		t.s = t.s.withJob(j)
 	}
--- a/internal/decision/schedule/reconcile.go
+++ b/internal/decision/schedule/reconcile.go
@@ -11,7 +11,7 @@
 
 // reconcile compares the runs that an executor lists with those in the state and resolves the differences.
 func (t *transition) reconcile(id string, m HeartbeatResult) {
-	e, _ := t.s.executors.Get(id)
+	e, _ := t.s.executor(id)
 	listed := map[job.Task]port.ActiveRun{}
 	for _, a := range m.Report.Runs {
 		listed[a.Task] = a
--- a/internal/decision/schedule/recover.go
+++ b/internal/decision/schedule/recover.go
@@ -2,8 +2,10 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
+	"teaselloft/internal/model/cluster"
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/site"
 )
@@ -15,41 +17,83 @@
 	Progress job.Progress
 }
 
+// Stored is what a new owner has read of its pool from the store.
+type Stored struct {
+	Jobs       []StoredJob
+	Unreadable []job.ID        // jobs with a record that can't be decoded
+	Listed     []site.Executor // those of the store's list
+	Used       cluster.Used    // executors that the former owner used
+	UsedLost   bool            // whether the record of the used executors can't be decoded
+}
+
+// unknownExecutor stands for the executors that an unreadable record may name. It never answers.
+const unknownExecutor = ""
+
 // Recover returns the state of an owner that has just taken over the pool.
 //
-// The executors may still run tasks for the former owner. Tasks of recovered jobs do not start until all executors
-// have answered a heartbeat with the new fencing token or their leases have expired.
-func Recover(s State, c *site.Config, stored []StoredJob, executors []site.Executor) (State, []Effect) {
+// The executors may still run tasks for the former owner, also those that are not in the list any more. Tasks of
+// recovered jobs do not start until all of them have answered a heartbeat with the new fencing token or their leases
+// have expired. A job with an unreadable record stays in the store as it is; its tasks do not start.
+func Recover(s State, c *site.Config, stored Stored) (State, []Effect) {
 	t := &transition{s: s}
 	t.s.config = c
+	unlisted := unlistedExecutors(s.Pool, stored)
+	executors := slices.Concat(stored.Listed, unlisted)
 	for _, e := range executors {
 		t.s.unsettled[e.ID] = true
 	}
+	if stored.UsedLost {
+		t.s.unsettled[unknownExecutor] = true
+	}
 	t.s.settleDeadline = t.s.now + time.Duration(float64(t.s.policy.Lease)/minClockRate) + time.Second
 	recovered := 0
-	for _, x := range stored {
+	for _, x := range stored.Jobs {
 		if x.Record.Submission == nil {
-			t.s = t.s.withJob(jobState{
-				sub: job.Submission{ID: x.ID, Queue: x.Record.Queue}, queue: t.s.queueOf(job.Submission{Queue: x.Record.Queue}),
-				accepted: x.Record.Accepted, ended: x.Record.Ended, state: x.Record.State, outcome: x.Record.State,
-				stored: true, started: true, digest: x.Record.Digest,
-			})
-			t.s.ended = t.s.ended.Set(x.ID, struct{}{})
+			t.recoverOutcome(x)
 			continue
 		}
 		recovered++
 		t.recoverJob(x)
 	}
-	t.emit(note(slog.LevelInfo, "pool.recovered", "open", recovered,
-		"ended", len(stored)-recovered, "executors", len(executors), "config", c.Version))
+	for _, id := range stored.Unreadable {
+		t.s.unreadable = t.s.unreadable.Set(id, struct{}{})
+	}
+	t.emit(note(slog.LevelInfo, "pool.recovered", "open", recovered, "ended", len(stored.Jobs)-recovered, "unreadable", len(stored.Unreadable),
+		"executors", len(stored.Listed), "unlisted", len(unlisted), "config", c.Version))
 	t.addDueOccurrences()
 	t.handleExecutorsListed(executors)
-	if len(executors) == 0 {
+	t.handleExecutorsListed(stored.Listed) // the others remain until they have no runs
+	if len(t.s.unsettled) == 0 {
 		t.settle(nil)
 	}
 	return t.s, t.effects
 }
 
+// recoverOutcome recovers a job that has ended.
+func (t *transition) recoverOutcome(x StoredJob) {
+	t.s = t.s.withJob(jobState{
+		sub: job.Submission{ID: x.ID, Queue: x.Record.Queue}, queue: t.s.queueOf(job.Submission{Queue: x.Record.Queue}),
+		accepted: x.Record.Accepted, ended: x.Record.Ended, state: x.Record.State, outcome: x.Record.State,
+		stored: true, started: true, digest: x.Record.Digest,
+	})
+	t.s.ended = t.s.ended.Set(x.ID, struct{}{})
+}
+
+// unlistedExecutors returns the executors that the former owner used and that are not in the list.
+func unlistedExecutors(pool string, stored Stored) []site.Executor {
+	listed := make(map[string]bool, len(stored.Listed))
+	for _, e := range stored.Listed {
+		listed[e.ID] = true
+	}
+	var unlisted []site.Executor
+	for _, u := range stored.Used.Executors {
+		if !listed[u.ID] {
+			unlisted = append(unlisted, site.Executor{ID: u.ID, Address: u.Address, Pool: pool, Instance: u.Instance, Born: u.Born})
+		}
+	}
+	return unlisted
+}
+
 func (t *transition) recoverJob(x StoredJob) {
 	j := t.s.newJob(*x.Record.Submission, x.Record.Digest, x.Record.Accepted, t.s.now)
 	j.objective -= time.Duration(t.s.unixMilli-x.Record.Accepted) * time.Millisecond
--- a/internal/decision/schedule/simulation_test.go
+++ b/internal/decision/schedule/simulation_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"teaselloft/internal/decision/schedule"
+	"teaselloft/internal/model/cluster"
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/port"
 	"teaselloft/internal/model/site"
@@ -70,6 +71,7 @@
 	lastEnd     uint64
 	highestRun  map[job.Task]uint64
 	silentUntil time.Duration // answers no call before
+	unlisted    bool          // its entry in the store has expired, although it runs
 }
 
 type run struct {
@@ -142,7 +144,7 @@
 func (sim *simulation) listedExecutors() []site.Executor {
 	var all []site.Executor
 	for _, id := range slices.Sorted(maps.Keys(sim.executors)) {
-		if x := sim.executors[id]; x.up {
+		if x := sim.executors[id]; x.up && !x.unlisted {
 			all = append(all, x.info)
 		}
 	}
@@ -155,7 +157,14 @@
 		o.alive = o.alive && keep
 	}
 	sim.epoch++
-	var stored []schedule.StoredJob
+	var stored schedule.Stored
+	stored.Listed = sim.listedExecutors()
+	if data, ok := sim.records[cluster.PrefixUsed+pool]; ok {
+		var err error
+		if stored.Used, err = job.Decode[cluster.Used](data); err != nil {
+			sim.t.Fatalf("record of the used executors: %v", err)
+		}
+	}
 	for _, key := range slices.Sorted(maps.Keys(sim.records)) {
 		id, ok := strings.CutPrefix(key, job.PrefixJob+pool+"/")
 		if !ok {
@@ -171,12 +180,12 @@
 				sim.t.Fatalf("progress of %s: %v", id, err)
 			}
 		}
-		stored = append(stored, x)
+		stored.Jobs = append(stored.Jobs, x)
 	}
 	o := &owner{alive: true}
 	sim.owners = append(sim.owners, o)
 	s := schedule.New(pool, sim.epoch, schedule.DefaultPolicy(6*time.Second), sim.now, sim.unix())
-	state, effects := schedule.Recover(s, sim.config, stored, sim.listedExecutors())
+	state, effects := schedule.Recover(s, sim.config, stored)
 	o.state = state
 	sim.perform(o, effects)
 	sim.tick(o)
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -20,17 +20,20 @@
 	now                time.Duration
 	unixMilli          int64
 	config             *site.Config
-	jobs               *immutable.Map[job.ID, jobState]
-	executors          *immutable.SortedMap[string, executorState]
+	jobs               *immutable.Map[job.ID, *jobState]
+	executors          *immutable.SortedMap[string, *executorState]
 	ready              *immutable.SortedMap[rank, taskSetRef]
 	changed            *immutable.SortedMap[uint64, job.ID] // jobs with unstored changes, by generation
+	unreadable         *immutable.Map[job.ID, struct{}]     // jobs whose record in the store can't be decoded
 	repeating          *immutable.Map[job.ID, int]          // next occurrence of each repeating job
 	ended              *immutable.Map[job.ID, struct{}]     // ended jobs, kept for the retention
 	generation         uint64                               // last generation assigned to a changed job
 	lastCommit         uint64                               // number of the last commit
 	inFlight           *pendingCommit
 	lastCommitResultAt time.Duration   // when the last result arrived, plus a backoff if the store refused the commit
+	lastOpenedAt       time.Duration   // when an executor has last answered this owner for the first time
 	confirmedAt        time.Duration   // when the last successful commit was sent, at which time this owner still owned the pool
+	usedChanged        bool            // the stored record of the used executors is out of date
 	unsettled          map[string]bool // executors that may have runs of the former owner and have not answered yet
 	settleDeadline     time.Duration   // by then the leases of those executors have expired
 	lastSweep          time.Duration
@@ -43,6 +46,7 @@
 	sent    time.Duration
 	jobs    []pendingJob
 	stalled bool // the store did not answer an attempt; callers no longer wait
+	used    bool // contains the record of the used executors
 }
 
 // pendingJob is a job in a pending commit, as it was when the commit was sent.
@@ -84,28 +88,46 @@
 	return State{
 		Pool: pool, Epoch: epoch, policy: p, now: now, unixMilli: unixMilli,
 		config:    &site.Config{},
-		jobs:      immutable.NewMap[job.ID, jobState](nil),
-		executors: immutable.NewSortedMap[string, executorState](nil),
+		jobs:      immutable.NewMap[job.ID, *jobState](nil),
+		executors: immutable.NewSortedMap[string, *executorState](nil),
 		ready:     immutable.NewSortedMap[rank, taskSetRef](rankOrder{}),
 		changed:   immutable.NewSortedMap[uint64, job.ID](nil),
-		repeating: immutable.NewMap[job.ID, int](nil),
+		repeating: immutable.NewMap[job.ID, int](nil), unreadable: immutable.NewMap[job.ID, struct{}](nil),
 		ended:     immutable.NewMap[job.ID, struct{}](nil),
 		unsettled: map[string]bool{},
 	}
 }
 
+// job returns a job of the pool.
+func (s State) job(id job.ID) (jobState, bool) {
+	if j, ok := s.jobs.Get(id); ok {
+		return *j, true
+	}
+	return jobState{}, false
+}
+
+// executor returns an executor of the pool.
+func (s State) executor(id string) (executorState, bool) {
+	if e, ok := s.executors.Get(id); ok {
+		return *e, true
+	}
+	return executorState{}, false
+}
+
+// The maps hold pointers, because a change of a map copies a whole node of it with up to 32 values.
+
 func (s State) withJob(j jobState) State {
-	s.jobs = s.jobs.Set(j.sub.ID, j)
+	s.jobs = s.jobs.Set(j.sub.ID, &j)
 	return s
 }
 
 func (s State) withExecutor(e executorState) State {
-	s.executors = s.executors.Set(e.info.ID, e)
+	s.executors = s.executors.Set(e.info.ID, &e)
 	return s
 }
 
-// eachExecutor calls f for each executor, ordered by ID.
-func (s State) eachExecutor(f func(executorState)) {
+// eachExecutor calls f for each executor, ordered by ID. f must not change the executor.
+func (s State) eachExecutor(f func(*executorState)) {
 	for i := s.executors.Iterator(); !i.Done(); {
 		_, e, _ := i.Next()
 		f(e)
@@ -124,7 +146,7 @@
 
 // withRank adds a task set to the ready queue, moves it or removes it, according to the state of its job.
 func (s State) withRank(id job.ID, index int) State {
-	j, ok := s.jobs.Get(id)
+	j, ok := s.job(id)
 	if !ok {
 		return s
 	}
@@ -170,7 +192,7 @@
 
 // withAllRanks updates the rank of every task set of a job.
 func (s State) withAllRanks(id job.ID) State {
-	j, ok := s.jobs.Get(id)
+	j, ok := s.job(id)
 	if !ok {
 		return s
 	}
@@ -186,13 +208,17 @@
 
 // JobStatus is the status of a job; Known is false for a job that is not stored.
 type JobStatus struct {
-	Known bool
-	State job.State
+	Known      bool
+	Unreadable bool // there is a record, which can't be decoded
+	State      job.State
 }
 
 // Status returns the status of a job as callers see it.
 func (s State) Status(id job.ID) JobStatus {
-	j, ok := s.jobs.Get(id)
+	if s.isUnreadable(id) {
+		return JobStatus{Unreadable: true}
+	}
+	j, ok := s.job(id)
 	if !ok || !j.stored {
 		return JobStatus{}
 	}
@@ -202,6 +228,11 @@
 	return JobStatus{Known: true, State: j.state}
 }
 
+func (s State) isUnreadable(id job.ID) bool {
+	_, ok := s.unreadable.Get(id)
+	return ok
+}
+
 // Pending returns the number of accepted jobs of a queue that have not started.
 func (s State) Pending(queue string) int {
 	n := 0
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -93,15 +93,17 @@
 	t.s.placementDue = true
 }
 
-func (t *transition) tickExecutor(e executorState) {
+func (t *transition) tickExecutor(x *executorState) {
+	e := *x
 	if e.failingSince != 0 && len(e.runs) > 0 && e.leaseExpired(t.s.now) {
 		t.emit(note(slog.LevelWarn, "executor.lapsed", "executor", e.info.ID, "runs", len(e.runs), "silent", t.s.now-e.failingSince))
 		e = t.requeueAll(e)
 		e.open = false
 		t.s = t.s.withExecutor(e)
 	}
-	if !e.listed && len(e.runs) == 0 && (e.failingSince != 0 || !e.open) {
+	if !e.listed && len(e.runs) == 0 && (e.failingSince != 0 || !e.open) && !t.s.unsettled[e.info.ID] {
 		t.s.executors = t.s.executors.Delete(e.info.ID)
+		t.s.usedChanged = true
 		t.emit(Disconnect{Executor: e.info.ID}, note(slog.LevelInfo, "executor.gone", "executor", e.info.ID))
 		return
 	}
@@ -114,7 +116,7 @@
 func (t *transition) addDueOccurrences() {
 	for i := t.s.repeating.Iterator(); !i.Done(); {
 		id, next, _ := i.Next()
-		j, ok := t.s.jobs.Get(id)
+		j, ok := t.s.job(id)
 		if !ok || !j.stored {
 			continue
 		}
@@ -136,7 +138,7 @@
 func (t *transition) sweepEnded() {
 	for i := t.s.ended.Iterator(); !i.Done(); {
 		id, _, _ := i.Next()
-		j, ok := t.s.jobs.Get(id)
+		j, ok := t.s.job(id)
 		if !ok {
 			t.s.ended = t.s.ended.Delete(id)
 			continue
@@ -177,8 +179,12 @@
 }
 
 func (t *transition) handleSubmit(m Submit) {
+	if t.s.isUnreadable(m.Submission.ID) {
+		t.emit(Answer{Token: m.Token, Err: port.ErrUnknownOutcome})
+		return
+	}
 	digest := m.Submission.Digest()
-	if j, ok := t.s.jobs.Get(m.Submission.ID); ok {
+	if j, ok := t.s.job(m.Submission.ID); ok {
 		switch {
 		case j.digest != digest:
 			t.emit(Answer{Token: m.Token, Err: port.ErrIDConflict})
@@ -205,7 +211,7 @@
 func (s State) newJob(sub job.Submission, digest uint64, unix int64, now time.Duration) jobState {
 	q := s.queueOf(sub)
 	j := jobState{sub: sub, queue: q, accepted: unix, digest: digest, criticalPaths: criticalPaths(sub)}
-	j.objective = now + q.Target + time.Duration(q.Stretch*float64(sub.CriticalPath()))
+	j.objective = now + q.Target + time.Duration(min(q.Stretch*float64(sub.CriticalPath()), float64(job.MaxDuration)))
 	if sub.Repeat == 0 {
 		j = j.withOccurrence(0, now)
 	}
@@ -213,8 +219,10 @@
 }
 
 func (t *transition) handleCancel(m Cancel) {
-	j, ok := t.s.jobs.Get(m.ID)
+	j, ok := t.s.job(m.ID)
 	switch {
+	case t.s.isUnreadable(m.ID):
+		t.emit(Answer{Token: m.Token, Err: port.ErrUnavailable})
 	case !ok:
 		t.emit(Answer{Token: m.Token, Err: port.ErrNoJob})
 	case j.state == job.Cancelled:
@@ -235,7 +243,7 @@
 
 // updateTask applies change to a task and updates the rank of its task set.
 func (t *transition) updateTask(task job.Task, change func(taskState) taskState) {
-	j, ok := t.s.jobs.Get(task.Job)
+	j, ok := t.s.job(task.Job)
 	if !ok {
 		return
 	}
@@ -249,7 +257,7 @@
 }
 
 func (t *transition) findTask(task job.Task) (jobState, taskState, bool) {
-	j, ok := t.s.jobs.Get(task.Job)
+	j, ok := t.s.job(task.Job)
 	if !ok {
 		return jobState{}, taskState{}, false
 	}
@@ -302,8 +310,11 @@
 
 // stopJobRuns stops all runs of a job.
 func (t *transition) stopJobRuns(id job.ID) {
-	t.s.eachExecutor(func(e executorState) {
-		changed := false
+	t.s.eachExecutor(func(x *executorState) {
+		if !slices.ContainsFunc(x.runs, func(r runState) bool { return r.task.Job == id }) {
+			return
+		}
+		e, changed := *x, false
 		for i, r := range e.runs {
 			if r.task.Job == id && r.phase != stopping {
 				e, changed = t.stopRun(e, i), true
@@ -316,7 +327,7 @@
 }
 
 func (t *transition) handleOrderResult(m OrderResult) {
-	e, ok := t.s.executors.Get(m.Executor)
+	e, ok := t.s.executor(m.Executor)
 	if !ok {
 		return
 	}
--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -47,7 +47,7 @@
 		id, _, _ := i.Next()
 		out.States[s.Status(id).State.String()]++
 	}
-	s.eachExecutor(func(e executorState) {
+	s.eachExecutor(func(e *executorState) {
 		x := ExecutorSummary{
 			ID: e.info.ID, Instance: e.info.Instance, Rack: e.info.Rack(), Open: e.open, Draining: e.info.Draining,
 			Quarantined: s.now < e.quarantinedUntil, Vacating: s.now < e.vacateUntil, Runs: len(e.runs), Used: e.allocated, Capacity: e.info.Capacity, Slowness: e.slowness,
@@ -63,7 +63,7 @@
 // Load returns the load of the pool's executors and the CPU demand of the ready tasks.
 func (s State) Load() port.Load {
 	load := port.Load{Executors: map[string]port.ExecutorLoad{}}
-	s.eachExecutor(func(e executorState) {
+	s.eachExecutor(func(e *executorState) {
 		x := port.ExecutorLoad{CPU: e.allocated.CPU, Runs: len(e.runs), Usable: e.usable(s.now, s.confirmedAt)}
 		for _, r := range e.runs {
 			if r.longRunning {
@@ -74,7 +74,7 @@
 	})
 	for i := s.ready.Iterator(); !i.Done(); {
 		r, ref, _ := i.Next()
-		j, ok := s.jobs.Get(ref.job)
+		j, ok := s.job(ref.job)
 		if !ok {
 			continue
 		}
--- a/internal/decision/schedule/throttle.go
+++ b/internal/decision/schedule/throttle.go
@@ -20,7 +20,7 @@
 // adjustThrottle slows the best-effort tasks of an executor down while a serving task on it is close to its latency
 // target or over it, and speeds them up step by step afterwards.
 func (t *transition) adjustThrottle(id string) {
-	e, _ := t.s.executors.Get(id)
+	e, _ := t.s.executor(id)
 	worstRatio, bestEffortRuns, lowestSpeed := 0.0, 0, 100
 	for _, r := range e.runs {
 		if r.serving && r.phase == running && r.latencyTarget > 0 {
--- a/internal/decision/schedule/throttle_test.go
+++ b/internal/decision/schedule/throttle_test.go
@@ -26,7 +26,9 @@
 	for _, j := range jobs {
 		stored = append(stored, schedule.StoredJob{ID: j.ID, Record: job.Record{Submission: &j}})
 	}
-	p.state, _ = schedule.Recover(p.state, c, stored, []site.Executor{{ID: "x", Address: "x", Pool: pool, Capacity: job.Resources{CPU: 8000}}})
+	p.state, _ = schedule.Recover(p.state, c, schedule.Stored{
+		Jobs: stored, Listed: []site.Executor{{ID: "x", Address: "x", Pool: pool, Capacity: job.Resources{CPU: 8000}}},
+	})
 	return p
 }
 
--- a/internal/decision/schedule/vacate.go
+++ b/internal/decision/schedule/vacate.go
@@ -19,7 +19,7 @@
 func (t *transition) handleVacate(m Vacate) {
 	var empty []string
 	for _, id := range m.Executors {
-		e, ok := t.s.executors.Get(id)
+		e, ok := t.s.executor(id)
 		if !ok {
 			continue
 		}
@@ -41,7 +41,7 @@
 // evictRuns stops the long-running tasks of an executor as far as the allowed misses of their steps permit, and the
 // batch tasks that are still running after batchEvictDelay.
 func (t *transition) evictRuns(id string) {
-	e, _ := t.s.executors.Get(id)
+	e, _ := t.s.executor(id)
 	for i := 0; i < len(e.runs); i++ {
 		r := e.runs[i]
 		if r.phase != running {
@@ -76,7 +76,7 @@
 	if x.phase != running {
 		return false
 	}
-	e, ok := t.s.executors.Get(x.executor)
+	e, ok := t.s.executor(x.executor)
 	if !ok || e.failingSince != 0 {
 		return false
 	}
--- a/internal/decision/schedule/vacate_test.go
+++ b/internal/decision/schedule/vacate_test.go
@@ -25,7 +25,9 @@
 	}
 	now := 10 * time.Second
 	s := schedule.New(pool, 2, schedule.DefaultPolicy(6*time.Second), now, 1000)
-	s, _ = schedule.Recover(s, &site.Config{Version: 1}, []schedule.StoredJob{{ID: sub.ID, Record: job.Record{Submission: &sub}}}, executors)
+	s, _ = schedule.Recover(s, &site.Config{Version: 1}, schedule.Stored{
+		Jobs: []schedule.StoredJob{{ID: sub.ID, Record: job.Record{Submission: &sub}}}, Listed: executors,
+	})
 	heartbeat := func() {
 		for i, id := range []string{"x0", "x1"} {
 			s, _ = schedule.Step(s, schedule.HeartbeatResult{Executor: id, Sent: now, Now: now, Report: port.ExecutorReport{Clock: now.Milliseconds(), Runs: []port.ActiveRun{
--- a/internal/link/directory/link.go
+++ b/internal/link/directory/link.go
@@ -4,16 +4,17 @@
 	"context"
 	"errors"
 	"log/slog"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"teaselloft/internal/core/clock"
+	"teaselloft/internal/core/guard"
 	"teaselloft/internal/core/kernel"
 	"teaselloft/internal/model/cluster"
-	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/port"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 // Name is the plug-in's name in the settings.
@@ -51,17 +52,23 @@
 	outageStart atomic.Int64     // 0 while the store answers
 	outageEnd   atomic.Int64     // of the last outage; 0 if there was none
 	logged      map[string]int64 // last logged revision of each invalid item
+	invalid     metrics.Counter
 }
 
 func build(h *kernel.Host, s Settings) ([]kernel.Duty, error) {
-	l := &link{host: h, log: h.Log.With("plugin", Name), settings: s, logged: map[string]int64{}}
+	l := &link{
+		host: h, log: h.Log.With("plugin", Name), settings: s, logged: map[string]int64{},
+		invalid: metrics.GetOrRegisterCounter("follow.invalid", h.Metrics),
+	}
 	l.current.Store(&cluster.Directory{})
+	executors := newExecutorFollower(l)
 	kernel.Provide[port.Directory](h, l)
+	kernel.Provide[port.Executors](h, executors)
 	h.RegisterDump(Name, func() any { return l.Directory() })
 	return []kernel.Duty{
-		{Name: "follow.operator", Run: func(ctx context.Context) error { return l.run(ctx, l.operatorSource()) }},
-		{Name: "follow.executors", Run: func(ctx context.Context) error { return l.run(ctx, l.executorSource()) }},
-		{Name: "follow.own", Run: func(ctx context.Context) error { return l.run(ctx, l.clusterSource()) }},
+		{Name: "follow.operator", Run: func(ctx context.Context) error { return l.run(ctx, l.operatorSource(), 0) }},
+		{Name: "follow.executors", Run: executors.run},
+		{Name: "follow.own", Run: func(ctx context.Context) error { return l.run(ctx, l.clusterSource(), 0) }},
 	}, nil
 }
 
@@ -76,31 +83,27 @@
 	return time.Duration(l.outageStart.Load()), time.Duration(l.outageEnd.Load())
 }
 
-// source describes a key prefix whose items are watched.
-type source struct {
-	prefix     string
-	put        func(cluster.Directory, port.Item) cluster.Directory    // applies a new or changed item
-	remove     func(d cluster.Directory, key string) cluster.Directory // applies the deletion of an item
-	keys       func(cluster.Directory) []string                        // keys of the items in the directory
-	markSynced func(cluster.Directory) cluster.Directory               // records that the source has been listed
-	interval   time.Duration                                           // between two watches
-}
+var errNoStore = errors.New("no plug-in provides a store")
 
-// run lists the items of a source and watches their changes. It lists again if the list failed or the store has
-// compacted the history.
-func (l *link) run(ctx context.Context, s source) error {
+// run watches the changes of a source after a revision. It lists the items first if the revision is 0, if a list has
+// failed and if the store has compacted the history.
+func (l *link) run(ctx context.Context, s source, revision int64) error {
 	store, ok := kernel.Use[port.Store](l.host)
 	if !ok {
-		return errors.New("no plug-in provides a store")
+		return errNoStore
 	}
 	for ctx.Err() == nil {
-		revision, err := l.list(ctx, store, s)
+		var err error
+		if revision == 0 {
+			revision, err = l.list(ctx, store, s)
+		}
 		for err == nil {
 			revision, err = l.watch(ctx, store, s, revision)
 		}
 		if ctx.Err() != nil {
 			break
 		}
+		revision = 0
 		if errors.Is(err, port.ErrCompacted) {
 			l.log.Info("store compacted the history, listing again", "event", "follow.history", "prefix", s.prefix)
 			continue
@@ -117,6 +120,7 @@
 	}
 }
 
+// list reads all items of a source. Items of the directory that the store no longer has are removed.
 func (l *link) list(ctx context.Context, store port.Store, s source) (int64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, l.settings.ListTimeout.Value())
 	defer cancel()
@@ -126,17 +130,19 @@
 		return 0, err
 	}
 	l.update(ctx, func(d cluster.Directory) cluster.Directory {
-		present := map[string]bool{}
+		s.listed.Store(revision)
+		present := make(map[string]bool, len(items))
+		events := make([]port.Event, 0, len(items))
 		for _, item := range items {
 			present[item.Key] = true
-			d = s.put(d, item)
+			events = append(events, port.Event{Item: item})
 		}
 		for _, key := range s.keys(d) {
 			if !present[key] {
-				d = s.remove(d, key)
+				events = append(events, port.Event{Item: port.Item{Key: key}, Deleted: true})
 			}
 		}
-		return s.markSynced(d)
+		return s.markSynced(s.apply(d, events))
 	})
 	return revision, nil
 }
@@ -146,6 +152,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+l.settings.WatchMargin.Value())
 	defer cancel()
 	events, revision, err := store.Watch(callCtx, s.prefix, after, wait)
+	if ctx.Err() != nil {
+		return after, ctx.Err()
+	}
 	if err != nil && !errors.Is(err, port.ErrCompacted) {
 		l.recordAnswer(s, err)
 		l.sleep(ctx, l.settings.RetryInterval.Value())
@@ -156,14 +165,10 @@
 		return max(revision, after), err
 	}
 	l.update(ctx, func(d cluster.Directory) cluster.Directory {
-		for _, e := range events {
-			if e.Deleted {
-				d = s.remove(d, e.Key)
-			} else {
-				d = s.put(d, e.Item)
-			}
+		if ctx.Err() != nil {
+			return d // the source is no longer watched
 		}
-		return d
+		return s.apply(d, s.newer(events))
 	})
 	if s.interval > 0 {
 		l.sleep(ctx, s.interval)
@@ -191,7 +196,11 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	before := *l.current.Load()
-	after := change(before)
+	var after cluster.Directory
+	if err := guard.Call(func() { after = change(before) }); err != nil {
+		l.log.Error("changes not applied", "event", "follow.rejected", "error", err)
+		return
+	}
 	l.current.Store(&after)
 	if after.Config != nil && (before.Config == nil || before.Config.Version != after.Config.Version) {
 		l.log.Info("configuration applied", "event", "config.applied", "version", after.Config.Version, "queues", len(after.Config.Queues))
@@ -201,15 +210,22 @@
 	}
 }
 
-// logInvalid logs an invalid item, once for each revision.
+// logInvalid counts an invalid item and logs it, once for each revision.
 func (l *link) logInvalid(item port.Item, err error) {
 	if l.logged[item.Key] == item.Revision {
 		return
 	}
+	if len(l.logged) >= maxLogged {
+		clear(l.logged)
+	}
 	l.logged[item.Key] = item.Revision
+	l.invalid.Inc(1)
 	l.log.Warn("invalid item in the store", "event", "follow.unreadable", "key", item.Key, "revision", item.Revision, "error", err)
 }
 
+// maxLogged bounds the memory for the revisions of logged items.
+const maxLogged = 4096
+
 func (l *link) codec() port.SiteCodec {
 	codec, ok := kernel.Use[port.SiteCodec](l.host)
 	if !ok {
@@ -217,101 +233,3 @@
 	}
 	return codec
 }
-
-func (l *link) operatorSource() source {
-	codec := l.codec()
-	return source{
-		prefix: codec.OperatorPrefix(),
-		put: func(d cluster.Directory, item port.Item) cluster.Directory {
-			if c, ok, err := codec.Config(item); ok {
-				if err != nil {
-					l.logInvalid(item, err)
-					return d
-				}
-				return d.WithConfig(c)
-			}
-			if w, ok, err := codec.Wave(item); ok {
-				if err != nil {
-					l.logInvalid(item, err)
-					return d
-				}
-				return d.WithWave(w, clock.SinceBoot())
-			}
-			return d
-		},
-		remove:     func(d cluster.Directory, _ string) cluster.Directory { return d }, // operators add and replace items but delete none
-		keys:       func(cluster.Directory) []string { return nil },
-		markSynced: func(d cluster.Directory) cluster.Directory { return d },
-	}
-}
-
-func (l *link) executorSource() source {
-	codec := l.codec()
-	return source{
-		prefix:   codec.ExecutorPrefix(),
-		interval: l.settings.ExecutorWatchInterval.Value(),
-		put: func(d cluster.Directory, item port.Item) cluster.Directory {
-			e, err := codec.Executor(item)
-			if err != nil {
-				l.logInvalid(item, err)
-				return d
-			}
-			if before, ok := d.Executors[e.ID]; ok && before.SameReport(e) {
-				return d
-			}
-			return d.WithExecutor(e)
-		},
-		remove: func(d cluster.Directory, key string) cluster.Directory {
-			return d.WithoutExecutor(strings.TrimPrefix(key, codec.ExecutorPrefix()), clock.SinceBoot())
-		},
-		keys: func(d cluster.Directory) []string {
-			var keys []string
-			for id := range d.Executors {
-				keys = append(keys, codec.ExecutorPrefix()+id)
-			}
-			return keys
-		},
-		markSynced: func(d cluster.Directory) cluster.Directory { return d.WithSynced(false, true) },
-	}
-}
-
-func (l *link) clusterSource() source {
-	return source{
-		prefix: cluster.Prefix,
-		put:    l.putClusterRecord,
-		remove: func(d cluster.Directory, key string) cluster.Directory {
-			if name, ok := strings.CutPrefix(key, cluster.PrefixMember); ok {
-				return d.WithoutMember(name)
-			}
-			return d
-		},
-		keys: func(d cluster.Directory) []string {
-			var keys []string
-			for name := range d.Members {
-				keys = append(keys, cluster.PrefixMember+name)
-			}
-			return keys
-		},
-		markSynced: func(d cluster.Directory) cluster.Directory { return d.WithSynced(true, false) },
-	}
-}
-
-func (l *link) putClusterRecord(d cluster.Directory, item port.Item) cluster.Directory {
-	switch {
-	case strings.HasPrefix(item.Key, cluster.PrefixMember):
-		m, err := job.Decode[cluster.Member](item.Value)
-		if err != nil {
-			l.logInvalid(item, err)
-			return d
-		}
-		return d.WithMember(m)
-	case strings.HasPrefix(item.Key, cluster.PrefixOwner):
-		o, err := job.Decode[cluster.Owner](item.Value)
-		if err != nil {
-			l.logInvalid(item, err)
-			return d
-		}
-		return d.WithOwner(o)
-	}
-	return d
-}
--- a/internal/link/jobservice/service.go
+++ b/internal/link/jobservice/service.go
@@ -77,7 +77,7 @@
 // Ready implements port.JobService.
 func (s *service) Ready() bool {
 	d := s.directory()
-	return !s.stopping.Load() && d.Config != nil && d.Listed && d.Reported
+	return !s.stopping.Load() && d.Config != nil && d.Listed
 }
 
 // Route implements port.JobService.
--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -205,5 +205,5 @@
 	if err != nil {
 		return port.Load{}, err
 	}
-	return *resp.Load, nil
+	return *resp.Load, resp.Load.Validate()
 }
--- a/internal/link/peer/link.go
+++ b/internal/link/peer/link.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"teaselloft/internal/core/guard"
 	"teaselloft/internal/core/kernel"
 	"teaselloft/internal/core/listen"
 	"teaselloft/internal/model/cluster"
@@ -43,6 +44,7 @@
 	host   *kernel.Host
 	log    *slog.Logger
 	server *listen.Server
+	mux    *http.ServeMux
 
 	mutex   sync.Mutex
 	clients map[string]*client // by address
@@ -52,14 +54,19 @@
 	l := &link{host: h, log: h.Log.With("plugin", Name), clients: map[string]*client{}}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+path, http.HandlerFunc(l.accept))
+	l.mux = mux
 	var err error
 	if l.server, err = listen.Open(s.Listen, mux, l.log); err != nil {
 		return nil, err
 	}
 	kernel.Provide[port.Peers](h, l)
+	kernel.Provide[port.PeerHandlers](h, l)
 	return []kernel.Duty{{Name: "peer.accept", Run: l.server.Run}}, nil
 }
 
+// HandlePeer implements port.PeerHandlers.
+func (l *link) HandlePeer(pattern string, h http.Handler) { l.mux.Handle(pattern, h) }
+
 // Remote implements port.Peers.
 func (l *link) Remote(o cluster.Owner) port.PoolOwner {
 	l.mutex.Lock()
@@ -85,14 +92,26 @@
 	return o, nil
 }
 
-// serve performs a call on the local owner.
+// serve performs a call on the local owner. A call that panics is answered with an unknown outcome.
 func (l *link) serve(ctx context.Context, req request) response {
+	var resp response
+	if err := guard.Call(func() { resp = l.perform(ctx, req) }); err != nil {
+		l.log.Error("call failed", "event", "peer.rejected", "pool", req.Pool, "call", int(req.Call), "error", err)
+		return response{Number: req.Number, Code: errorCode(port.ErrUnknownOutcome)}
+	}
+	return resp
+}
+
+// maxVacate bounds how long one call may keep executors empty, in case the sender's request is damaged.
+const maxVacate = 10 * time.Second
+
+func (l *link) perform(ctx context.Context, req request) response {
 	resp := response{Number: req.Number}
 	o, err := l.localOwner(req.Pool)
 	if err == nil {
 		switch req.Call {
 		case callSubmit:
-			if req.Submission == nil {
+			if req.Submission == nil || req.Submission.Validate() != nil {
 				err = port.ErrNotAccepted
 			} else {
 				err = o.Submit(ctx, *req.Submission)
@@ -104,7 +123,7 @@
 		case callPending:
 			resp.Count, err = o.Pending(ctx, req.Queue)
 		case callVacate:
-			resp.Empty, err = o.Vacate(ctx, req.Executors, req.Duration)
+			resp.Empty, err = o.Vacate(ctx, req.Executors, min(req.Duration, maxVacate))
 		case callLoad:
 			var load port.Load
 			load, err = o.Load(ctx)
--- a/internal/link/pool/executor_conn.go
+++ b/internal/link/pool/executor_conn.go
@@ -3,195 +3,198 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"teaselloft/internal/core/clock"
 	"teaselloft/internal/core/kernel"
-	"teaselloft/internal/core/ring"
+	"teaselloft/internal/decision/relay"
 	"teaselloft/internal/decision/schedule"
-	"teaselloft/internal/model/job"
+	"teaselloft/internal/model/cluster"
 	"teaselloft/internal/model/port"
 	"teaselloft/internal/model/site"
-
-	"github.com/rcrowley/go-metrics"
+	"teaselloft/internal/protocol/executor"
 )
 
-// Timeouts and attempts of calls to an executor.
+// Durations of the routes to executors.
 const (
-	heartbeatMargin = 400 * time.Millisecond // added to the wait of a heartbeat; an executor that has not answered by then counts as silent
-	orderTimeout    = 200 * time.Millisecond // of the first attempt; doubled for the second
-	orderAttempts   = 2                      // before the outcome counts as unknown; orders are idempotent
+	suspicion      = 5 * time.Second // time for which a relay that was lost is not used again
+	directPeriod   = 8 * time.Second // time for which the owner itself calls an executor that was silent over a relay
+	assignInterval = time.Second     // between two assignments while nothing requires one at once
 )
 
-// order is an order to start, stop or throttle a run.
-type order struct {
-	kind schedule.OrderKind
-	task job.Task
-	run  uint64
-	send func(ctx context.Context, c port.ExecutorClient) (int64, error) // returns the executor's clock in ms
-}
-
-func startOrder(e schedule.StartRun) order {
-	return order{kind: schedule.OrderStart, task: e.Start.Task, run: e.Start.Run, send: func(ctx context.Context, c port.ExecutorClient) (int64, error) {
-		return c.Start(ctx, e.Start)
-	}}
-}
-
-func stopOrder(e schedule.StopRun) order {
-	return order{kind: schedule.OrderStop, task: e.Stop.Task, run: e.Stop.Run, send: func(ctx context.Context, c port.ExecutorClient) (int64, error) {
-		return c.Stop(ctx, e.Stop)
-	}}
+// executorConn is the way to one incarnation of an executor: a channel of this daemon or a relay. It is used only by the
+// owner's run, except for unanswered.
+type executorConn struct {
+	info        site.Executor
+	relay       string            // name of the assigned relay, "" if there is none
+	direct      *executor.Channel // nil unless this daemon has called the executor itself
+	directUntil time.Duration     // the relay is not used before
+	unanswered  atomic.Int64      // calls over the direct channel without a reply
 }
 
-func throttleOrder(e schedule.ThrottleRun) order {
-	return order{kind: schedule.OrderThrottle, task: e.Throttle.Task, run: e.Throttle.Run, send: func(ctx context.Context, c port.ExecutorClient) (int64, error) {
-		return c.Throttle(ctx, e.Throttle)
-	}}
+// relayConn is a channel to a relay that is assigned to executors.
+type relayConn struct {
+	channel port.RelayChannel
+	address string
 }
 
-// executorConn is the connection to one incarnation of an executor.
-type executorConn struct {
-	owner      *poolOwner
-	id         string
-	client     port.ExecutorClient
-	orders     *ring.Ring[order]
-	heartbeats *ring.Ring[schedule.SendHeartbeat]
-	cancel     context.CancelFunc
+// connect adds the way to an executor and ends the one to an earlier incarnation.
+func (o *poolOwner) connect(e site.Executor) {
+	o.disconnect(e.ID)
+	o.conns[e.ID] = &executorConn{info: e}
+	o.assignDue = true
 }
 
-// connect opens a connection to an executor and closes the one to an earlier incarnation.
-func (o *poolOwner) connect(ctx context.Context, wg *sync.WaitGroup, e site.Executor) {
-	dialer, ok := kernel.Use[port.ExecutorDialer](o.link.host)
+func (o *poolOwner) disconnect(id string) {
+	c, ok := o.conns[id]
 	if !ok {
-		o.link.log.Error("no plug-in provides an executor dialer", "event", "pool.noworkers")
 		return
 	}
-	o.disconnect(e.ID)
-	// The rings get registries of their own, because the rings of all executors have the same metric names.
-	c := &executorConn{
-		owner: o, id: e.ID, client: dialer.Open(e),
-		orders:     ring.New[order]("pool.orders", orderCapacity, ring.Refuse, metrics.NewRegistry()),
-		heartbeats: ring.New[schedule.SendHeartbeat]("pool.holds", 2, ring.Block, metrics.NewRegistry()),
-	}
-	ctx, c.cancel = context.WithCancel(ctx)
-	o.conns[e.ID] = c
-	wg.Go(func() { c.orderLoop(ctx) })
-	wg.Go(func() { c.heartbeatLoop(ctx) })
+	delete(o.conns, id)
+	c.closeDirect()
+	if r, ok := o.relays[c.relay]; ok {
+		r.channel.Forget(id)
+	}
 }
 
-func (o *poolOwner) disconnect(id string) {
-	if c, ok := o.conns[id]; ok {
-		delete(o.conns, id)
-		c.cancel()
-		c.client.Close()
+func (c *executorConn) closeDirect() {
+	if c.direct != nil {
+		c.direct.Close()
+		c.direct = nil
 	}
 }
 
-// queueOrder queues an order. Without a connection, or if the queue is full, the order is not sent and fails with
+// call sends a call to an executor, over its relay if it has one. Without a connection the call fails with
 // ErrNotConnected.
-func (o *poolOwner) queueOrder(ctx context.Context, executor string, x order) {
-	c, ok := o.conns[executor]
-	if ok {
-		if err := c.orders.Push(ctx, x); err == nil {
-			return
-		}
+func (o *poolOwner) call(ctx context.Context, id string, call port.ExecutorCall) {
+	c, ok := o.conns[id]
+	if !ok {
+		call.Executor.ID = id
+		o.handleReply(ctx, port.ExecutorReply{Call: call, Err: port.ErrNotConnected})
+		return
 	}
-	o.link.meters.refusedOrders.Inc(1)
-	o.enqueue(ctx, schedule.OrderResult{Executor: executor, Kind: x.kind, Task: x.task, Run: x.run, Now: clock.SinceBoot(), Err: port.ErrNotConnected})
-}
-
-// queueHeartbeat queues a heartbeat. Without a connection it fails with ErrNotConnected.
-func (o *poolOwner) queueHeartbeat(ctx context.Context, e schedule.SendHeartbeat) {
-	c, ok := o.conns[e.Executor]
-	if ok {
-		if err := c.heartbeats.Push(ctx, e); err == nil {
-			return
-		}
+	call.Executor = c.info
+	if call.Reset && c.relay != "" {
+		c.directUntil = clock.SinceBoot() + directPeriod // the path from the relay may be cut
 	}
-	o.enqueue(ctx, schedule.HeartbeatResult{Executor: e.Executor, Sent: clock.SinceBoot(), Now: clock.SinceBoot(), Err: port.ErrNotConnected})
+	if r, ok := o.relays[c.relay]; ok && clock.SinceBoot() >= c.directUntil {
+		r.channel.Send(call)
+		return
+	}
+	o.callDirectly(ctx, c, call)
 }
 
-// orderLoop sends queued orders one at a time.
-func (c *executorConn) orderLoop(ctx context.Context) {
-	for {
-		x, err := c.orders.Pull(ctx)
-		if err != nil {
+func (o *poolOwner) callDirectly(ctx context.Context, c *executorConn, call port.ExecutorCall) {
+	if c.direct == nil {
+		dialer, ok := kernel.Use[port.ExecutorDialer](o.link.host)
+		if !ok {
+			o.link.log.Error("no plug-in provides an executor dialer", "event", "pool.noworkers")
+			o.handleReply(ctx, port.ExecutorReply{Call: call, Err: port.ErrNotConnected})
 			return
 		}
-		start := clock.SinceBoot()
-		err = c.send(ctx, x)
-		if ctx.Err() != nil {
-			return
-		}
-		c.owner.link.meters.order.Update((clock.SinceBoot() - start).Milliseconds())
-		c.owner.enqueue(ctx, schedule.OrderResult{Executor: c.id, Kind: x.kind, Task: x.task, Run: x.run, Now: clock.SinceBoot(), Err: err})
+		c.direct = executor.Open(ctx, dialer, c.info, func(r port.ExecutorReply) {
+			o.handleReply(ctx, r)
+			c.unanswered.Add(-1)
+		})
+	}
+	c.unanswered.Add(1)
+	if err := c.direct.Send(call); err != nil {
+		c.unanswered.Add(-1)
+		o.link.meters.refusedOrders.Inc(1)
+		o.handleReply(ctx, port.ExecutorReply{Call: call, Err: err})
 	}
 }
 
-// send sends an order, with a second attempt if the first gets no answer. A refusal of the second attempt leaves the
-// outcome unknown, because the first one may have been carried out. ErrFenced is returned in any case, because this
-// daemon then steps down.
-func (c *executorConn) send(ctx context.Context, x order) error {
-	inDoubt := false
-	var err error
-	for attempt := range orderAttempts {
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout<<attempt)
-		_, err = x.send(callCtx, c.client)
-		cancel()
-		switch {
-		case err == nil, errors.Is(err, port.ErrFenced):
-			return err
-		case notExecuted(err):
-			if inDoubt {
-				return fmt.Errorf("%w: %w", port.ErrUnknownOutcome, err)
-			}
-			return err
+// handleReply queues the result of a call. A call whose relay was lost is queued for another attempt.
+func (o *poolOwner) handleReply(ctx context.Context, r port.ExecutorReply) {
+	if errors.Is(r.Err, port.ErrRelayLost) {
+		if err := o.lostCalls.Push(ctx, r.Call); err != nil {
+			// The ring is full. Its reader may be the caller, so a goroutine waits for room.
+			go func() { _ = o.lostCalls.PushWait(ctx, r.Call) }() // fails only when the owner is stopped
 		}
-		inDoubt = true
-		c.client.Reset()
+		return
+	}
+	now := clock.SinceBoot()
+	result := schedule.OrderResult{Executor: r.Call.Executor.ID, Now: now, Err: r.Err}
+	switch order := r.Call.Order.(type) {
+	case port.Heartbeat:
+		o.link.meters.heartbeat.Update((now - r.Call.Sent).Milliseconds())
+		o.enqueue(ctx, schedule.HeartbeatResult{Executor: r.Call.Executor.ID, Sent: r.Call.Sent, Now: now, Report: r.Report, Err: r.Err})
+		return
+	case port.Start:
+		result.Kind, result.Task, result.Run = schedule.OrderStart, order.Task, order.Run
+	case port.Stop:
+		result.Kind, result.Task, result.Run = schedule.OrderStop, order.Task, order.Run
+	case port.Throttle:
+		result.Kind, result.Task, result.Run = schedule.OrderThrottle, order.Task, order.Run
+	default:
+		panic("pool: unhandled order")
 	}
-	return fmt.Errorf("%w: %w", port.ErrUnknownOutcome, err)
+	o.link.meters.order.Update((now - r.Call.Sent).Milliseconds())
+	o.enqueue(ctx, result)
 }
 
-// notExecuted reports whether an order was refused or never sent.
-func notExecuted(err error) bool {
-	for _, definite := range []error{
-		port.ErrStaleRun, port.ErrExpired, port.ErrNoCapacity, port.ErrTicketRejected, port.ErrWrongIncarnation, port.ErrUnhealthy, port.ErrRejected, port.ErrNotConnected,
-	} {
-		if errors.Is(err, definite) {
-			return true
-		}
+// retryLost sends a call whose relay was lost to the executor itself. The relay may have sent it before.
+func (o *poolOwner) retryLost(ctx context.Context, call port.ExecutorCall) {
+	o.assignDue = true
+	c, ok := o.conns[call.Executor.ID]
+	if !ok || c.info.Address != call.Executor.Address || c.info.Born != call.Executor.Born {
+		return // the call was for an earlier incarnation
 	}
-	return false
+	o.callDirectly(ctx, c, call.WithDoubt())
 }
 
-// heartbeatLoop sends queued heartbeats, which renew the lease of the executor's runs and return its report.
-func (c *executorConn) heartbeatLoop(ctx context.Context) {
-	for {
-		e, err := c.heartbeats.Pull(ctx)
-		if err != nil {
-			return
+// assign gives each executor its relay, without those that were lost.
+func (o *poolOwner) assign(ctx context.Context) {
+	o.assignDue = false
+	now := clock.SinceBoot()
+	for name, r := range o.relays {
+		select {
+		case <-r.channel.Failed():
+			o.suspected[name] = now + suspicion
+			delete(o.relays, name)
+		default:
 		}
-		if e.Reset {
-			c.client.Reset()
+	}
+	relays, hasRelays := kernel.Use[port.Relays](o.link.host)
+	directory, hasDirectory := kernel.Use[port.Directory](o.link.host)
+	if !hasRelays || !hasDirectory {
+		return
+	}
+	d := directory.Directory()
+	assigned := relay.Assign(o.relayInput(d, now))
+	for id, c := range o.conns {
+		c.relay = assigned[id]
+		if _, ok := o.relays[c.relay]; !ok && c.relay != "" {
+			address := d.Members[c.relay].Address
+			o.relays[c.relay] = &relayConn{address: address, channel: relays.Connect(ctx, address, func(r port.ExecutorReply) { o.handleReply(ctx, r) })}
 		}
-		if e.Delay > 0 {
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(e.Delay):
-			}
+		if c.relay != "" && now >= c.directUntil && c.unanswered.Load() == 0 {
+			c.closeDirect()
 		}
-		sent := clock.SinceBoot()
-		callCtx, cancel := context.WithTimeout(ctx, e.Heartbeat.Wait+heartbeatMargin)
-		report, err := c.client.Heartbeat(callCtx, e.Heartbeat)
-		cancel()
-		if ctx.Err() != nil {
-			return
+	}
+}
+
+// relayInput returns the facts for an assignment.
+func (o *poolOwner) relayInput(d cluster.Directory, now time.Duration) relay.Input {
+	in := relay.Input{
+		Pool: o.duty, Self: o.self.Name, Members: d.Members, Busy: map[string]bool{}, Suspected: map[string]bool{},
+		Current: make(map[string]string, len(o.conns)),
+	}
+	for id, c := range o.conns {
+		in.Executors = append(in.Executors, c.info)
+		in.Current[id] = c.relay
+	}
+	for _, owner := range d.Owners {
+		in.Busy[owner.Name] = true
+	}
+	for name, until := range o.suspected {
+		if now < until {
+			in.Suspected[name] = true
+		} else {
+			delete(o.suspected, name)
 		}
-		c.owner.link.meters.heartbeat.Update((clock.SinceBoot() - sent).Milliseconds())
-		c.owner.enqueue(ctx, schedule.HeartbeatResult{Executor: e.Executor, Sent: sent, Now: clock.SinceBoot(), Report: report, Err: err})
 	}
+	return in
 }
--- a/internal/link/pool/fleet_owner.go
+++ b/internal/link/pool/fleet_owner.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"teaselloft/internal/core/clock"
+	"teaselloft/internal/core/guard"
 	"teaselloft/internal/core/kernel"
 	"teaselloft/internal/core/ring"
 	"teaselloft/internal/decision/maintenance"
@@ -66,13 +68,16 @@
 	}
 	completed := map[int64][]string{}
 	for _, i := range items {
-		var number int64
-		if _, err := fmt.Sscanf(strings.TrimPrefix(i.Key, prefixWave), "%d", &number); err != nil {
-			return nil, fmt.Errorf("decode item %q: %w", i.Key, err)
+		number, err := strconv.ParseInt(strings.TrimPrefix(i.Key, prefixWave), 10, 64)
+		var done []string
+		if err == nil {
+			done, err = job.Decode[[]string](i.Value)
 		}
-		if completed[number], err = job.Decode[[]string](i.Value); err != nil {
-			return nil, fmt.Errorf("decode item %q: %w", i.Key, err)
+		if err != nil {
+			l.logUnreadable(i, err) // maintenance that is ordered again after it was done has no effect
+			continue
 		}
+		completed[number] = done
 	}
 	f := &fleetOwner{
 		ownership: own, link: l, directory: directory, instances: instances, writer: w, lastErrors: map[string]string{}, done: make(chan struct{}),
@@ -184,7 +189,14 @@
 }
 
 func (f *fleetOwner) step(ctx context.Context, m maintenance.Message) {
-	s, effects := maintenance.Step(*f.state.Load(), m)
+	var s maintenance.State
+	var effects []maintenance.Effect
+	if err := guard.Call(func() { s, effects = maintenance.Step(*f.state.Load(), m) }); err != nil {
+		f.link.meters.rejected.Inc(1)
+		f.link.log.Error("message rejected", "event", "fleet.rejected", "epoch", f.epoch, "message", fmt.Sprintf("%T", m), "error", err)
+		f.link.stepDown(f, "a message could not be processed", "message", fmt.Sprintf("%T", m))
+		return
+	}
 	f.state.Store(&s)
 	for _, e := range effects {
 		switch e := e.(type) {
--- a/internal/link/pool/link.go
+++ b/internal/link/pool/link.go
@@ -57,6 +57,7 @@
 type meters struct {
 	takeover, commit, order, heartbeat metrics.Histogram
 	superseded, refusedOrders          metrics.Counter
+	unreadable, rejected               metrics.Counter
 }
 
 // histogram returns a latency histogram in milliseconds.
@@ -75,6 +76,8 @@
 			order: histogram(h.Metrics, "pool.order.ms"), heartbeat: histogram(h.Metrics, "pool.hold.ms"),
 			superseded:    metrics.GetOrRegisterCounter("pool.superseded", h.Metrics),
 			refusedOrders: metrics.GetOrRegisterCounter("pool.orders.refused", h.Metrics),
+			unreadable:    metrics.GetOrRegisterCounter("pool.unreadable", h.Metrics),
+			rejected:      metrics.GetOrRegisterCounter("pool.rejected", h.Metrics),
 		},
 	}
 	kernel.Subscribe(h, port.DirectoryTopic, func(ctx context.Context, _ cluster.Directory) error {
--- a/internal/link/pool/pool_owner.go
+++ b/internal/link/pool/pool_owner.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"teaselloft/internal/core/clock"
+	"teaselloft/internal/core/guard"
 	"teaselloft/internal/core/kernel"
 	"teaselloft/internal/core/ring"
 	"teaselloft/internal/decision/schedule"
@@ -21,7 +23,7 @@
 const (
 	messageCapacity = 4096 // queued requests, reports and results of effects
 	maxBatch        = 64   // maximum number of messages between two scheduling cycles
-	orderCapacity   = 512  // queued orders for one executor
+	lostCapacity    = 4096 // calls whose relay was lost
 	adviceCapacity  = 64   // steps queued for advice
 )
 
@@ -37,8 +39,13 @@
 	writer         writer
 	context        context.Context // of run
 	cancel         context.CancelFunc
-	done           chan struct{}            // closed when run returns
-	conns          map[string]*executorConn // used only by run
+	done           chan struct{} // closed when run returns
+	lostCalls      *ring.Ring[port.ExecutorCall]
+	conns          map[string]*executorConn // by executor; used only by run, as are the next three
+	relays         map[string]*relayConn    // by name
+	suspected      map[string]time.Duration // until when a relay is not used, by name
+	assignDue      bool                     // the assignment of relays has to be made anew
+	release        func()                   // called when run returns
 	lastView       directoryView            // used only by updateDirectory
 
 	mutex     sync.Mutex // guards the fields below
@@ -56,11 +63,12 @@
 func newPoolOwner(ctx context.Context, l *link, own ownership, w writer, s schedule.State, initialEffects []schedule.Effect) *poolOwner {
 	o := &poolOwner{
 		link: l, ownership: own, initialEffects: initialEffects,
-		messages: ring.New[schedule.Message]("pool.messages", messageCapacity, ring.Refuse, l.host.Metrics),
-		commits:  ring.New[schedule.Commit]("pool.commits", 1, ring.Block, l.host.Metrics),
-		advice:   ring.New[schedule.Advise]("pool.advice", adviceCapacity, ring.Refuse, l.host.Metrics),
-		writer:   w,
-		done:     make(chan struct{}), conns: map[string]*executorConn{}, replies: map[uint64]*ring.Ring[schedule.Answer]{},
+		messages:  ring.New[schedule.Message]("pool.messages", messageCapacity, ring.Refuse, l.host.Metrics),
+		commits:   ring.New[schedule.Commit]("pool.commits", 1, ring.Block, l.host.Metrics),
+		advice:    ring.New[schedule.Advise]("pool.advice", adviceCapacity, ring.Refuse, l.host.Metrics),
+		writer:    w,
+		lostCalls: ring.New[port.ExecutorCall]("pool.lost", lostCapacity, ring.Refuse, l.host.Metrics),
+		done:      make(chan struct{}), conns: map[string]*executorConn{}, relays: map[string]*relayConn{}, suspected: map[string]time.Duration{}, replies: map[uint64]*ring.Ring[schedule.Answer]{},
 	}
 	o.context, o.cancel = context.WithCancel(ctx)
 	o.state.Store(&s)
@@ -88,7 +96,8 @@
 	defer wg.Wait()
 	wg.Go(func() { o.commitLoop(ctx) })
 	wg.Go(func() { o.adviceLoop(ctx) })
-	o.perform(ctx, &wg, o.initialEffects)
+	o.perform(ctx, o.initialEffects)
+	lastAssignment := clock.SinceBoot()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -96,25 +105,61 @@
 		case <-ctx.Done():
 			return
 		case m := <-o.messages.Items():
-			o.step(ctx, &wg, m)
+			o.step(ctx, m)
 			for n := 1; n < maxBatch && o.messages.Len() > 0; n++ {
-				o.step(ctx, &wg, <-o.messages.Items())
+				o.step(ctx, <-o.messages.Items())
 			}
+		case call := <-o.lostCalls.Items():
+			o.retryLost(ctx, call)
 		case <-ticker.C:
-			o.step(ctx, &wg, schedule.Tick{Now: clock.SinceBoot(), Unix: time.Now().UnixMilli()})
+			now := clock.SinceBoot()
+			if o.assignDue || now-lastAssignment > assignInterval {
+				lastAssignment = now
+				o.assign(ctx)
+			}
+			o.step(ctx, schedule.Tick{Now: now, Unix: time.Now().UnixMilli()})
 		}
-		o.step(ctx, &wg, schedule.RunCycle{Now: clock.SinceBoot()})
+		o.step(ctx, schedule.RunCycle{Now: clock.SinceBoot()})
 	}
 }
 
-func (o *poolOwner) step(ctx context.Context, wg *sync.WaitGroup, m schedule.Message) {
-	s, effects := schedule.Step(*o.state.Load(), m)
+// step processes a message. A message that makes the decision panic leaves the state as it was and is rejected.
+func (o *poolOwner) step(ctx context.Context, m schedule.Message) {
+	var s schedule.State
+	var effects []schedule.Effect
+	if err := guard.Call(func() { s, effects = schedule.Step(*o.state.Load(), m) }); err != nil {
+		o.reject(ctx, m, err)
+		return
+	}
 	o.state.Store(&s)
-	o.perform(ctx, wg, effects)
+	o.perform(ctx, effects)
+}
+
+// reject replaces a message that could not be processed. It steps down if nothing can replace it.
+func (o *poolOwner) reject(ctx context.Context, m schedule.Message, reason error) {
+	o.link.meters.rejected.Inc(1)
+	o.link.log.Error("message rejected", "event", "pool.rejected", "pool", o.duty, "epoch", o.epoch, "message", fmt.Sprintf("%T", m), "error", reason)
+	replacement, effects, ok := schedule.Reject(m, reason)
+	if !ok {
+		o.link.stepDown(o, "a message could not be processed", "message", fmt.Sprintf("%T", m))
+		return
+	}
+	o.perform(ctx, effects)
+	if replacement != nil {
+		o.step(ctx, replacement)
+	}
 }
 
 // perform performs effects without waiting for their results.
-func (o *poolOwner) perform(ctx context.Context, wg *sync.WaitGroup, effects []schedule.Effect) {
+func (o *poolOwner) perform(ctx context.Context, effects []schedule.Effect) {
+	for _, e := range effects {
+		if e, ok := e.(schedule.Connect); ok {
+			o.connect(e.Executor)
+		}
+	}
+	if o.assignDue {
+		o.assign(ctx) // before the first heartbeats to the new executors
+	}
 	for _, e := range effects {
 		switch e := e.(type) {
 		case schedule.Answer:
@@ -124,15 +169,14 @@
 				return // the owner is stopped
 			}
 		case schedule.StartRun:
-			o.queueOrder(ctx, e.Executor, startOrder(e))
+			o.call(ctx, e.Executor, port.ExecutorCall{Order: e.Start, Sent: clock.SinceBoot()})
 		case schedule.StopRun:
-			o.queueOrder(ctx, e.Executor, stopOrder(e))
+			o.call(ctx, e.Executor, port.ExecutorCall{Order: e.Stop, Sent: clock.SinceBoot()})
 		case schedule.ThrottleRun:
-			o.queueOrder(ctx, e.Executor, throttleOrder(e))
+			o.call(ctx, e.Executor, port.ExecutorCall{Order: e.Throttle, Sent: clock.SinceBoot()})
 		case schedule.SendHeartbeat:
-			o.queueHeartbeat(ctx, e)
-		case schedule.Connect:
-			o.connect(ctx, wg, e.Executor)
+			o.call(ctx, e.Executor, port.ExecutorCall{Order: e.Heartbeat, Sent: clock.SinceBoot(), Delay: e.Delay, Reset: e.Reset})
+		case schedule.Connect: // made before the other effects
 		case schedule.Disconnect:
 			o.disconnect(e.Executor)
 		case schedule.Advise:
@@ -167,7 +211,7 @@
 	if !d.Reported {
 		return
 	}
-	listed, _ := d.PoolExecutors(o.duty, 0)
+	listed := d.PoolExecutors(o.duty)
 	same := len(listed) == len(o.lastView.executors) && o.lastView.executors != nil
 	for _, e := range listed {
 		before, ok := o.lastView.executors[e.ID]
@@ -183,9 +227,9 @@
 	o.enqueue(ctx, schedule.ExecutorsListed{Now: clock.SinceBoot(), Executors: listed})
 }
 
-// call queues a request and waits for its answer. It returns ErrNotOwner after shutdown, ErrNotAccepted if the queue is
+// request queues a request and waits for its answer. It returns ErrNotOwner after shutdown, ErrNotAccepted if the queue is
 // full, and ErrUnknownOutcome if ctx ends first.
-func (o *poolOwner) call(ctx context.Context, message func(token uint64) schedule.Message) (schedule.Answer, error) {
+func (o *poolOwner) request(ctx context.Context, message func(token uint64) schedule.Message) (schedule.Answer, error) {
 	reply := ring.NewReply[schedule.Answer]()
 	o.mutex.Lock()
 	if o.closed {
@@ -236,14 +280,18 @@
 	for token, reply := range replies {
 		_ = reply.Push(context.Background(), schedule.Answer{Token: token, Err: port.ErrUnknownOutcome}) // never full: a reply ring receives one answer
 	}
-	for id := range o.conns {
-		o.disconnect(id)
+	for _, c := range o.conns {
+		c.closeDirect()
+	}
+	for _, r := range o.relays {
+		r.channel.Close()
 	}
+	o.release()
 }
 
 // Submit implements port.PoolOwner.
 func (o *poolOwner) Submit(ctx context.Context, s job.Submission) error {
-	_, err := o.call(ctx, func(token uint64) schedule.Message {
+	_, err := o.request(ctx, func(token uint64) schedule.Message {
 		return schedule.Submit{Token: token, Now: clock.SinceBoot(), Unix: time.Now().UnixMilli(), Submission: s}
 	})
 	return err
@@ -252,8 +300,11 @@
 // State implements port.PoolOwner.
 func (o *poolOwner) State(_ context.Context, id job.ID) (job.State, error) {
 	status := o.state.Load().Status(id)
-	if status.Known {
+	switch {
+	case status.Known:
 		return status.State, nil
+	case status.Unreadable:
+		return 0, port.ErrUnavailable
 	}
 	return 0, o.unknownJobError()
 }
@@ -270,7 +321,7 @@
 
 // Cancel implements port.PoolOwner.
 func (o *poolOwner) Cancel(ctx context.Context, id job.ID) error {
-	_, err := o.call(ctx, func(token uint64) schedule.Message {
+	_, err := o.request(ctx, func(token uint64) schedule.Message {
 		return schedule.Cancel{Token: token, Now: clock.SinceBoot(), ID: id}
 	})
 	if errors.Is(err, port.ErrNoJob) {
@@ -286,7 +337,7 @@
 
 // Vacate implements port.PoolOwner.
 func (o *poolOwner) Vacate(ctx context.Context, executors []string, duration time.Duration) ([]string, error) {
-	a, err := o.call(ctx, func(token uint64) schedule.Message {
+	a, err := o.request(ctx, func(token uint64) schedule.Message {
 		now := clock.SinceBoot()
 		return schedule.Vacate{Token: token, Now: now, Until: now + duration, Executors: executors}
 	})
--- a/internal/link/pool/takeover.go
+++ b/internal/link/pool/takeover.go
@@ -14,7 +14,6 @@
 	"teaselloft/internal/model/cluster"
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/port"
-	"teaselloft/internal/model/site"
 )
 
 // ownership is the ownership of a duty by this process, under an epoch.
@@ -54,7 +53,7 @@
 	if !ok {
 		return ownership{}, writer{}, errors.New("no plug-in provides a store")
 	}
-	fence, revision, err := readWriteFence(ctx, store, duty)
+	fence, revision, err := l.readWriteFence(ctx, store, duty, knownEpoch)
 	if err != nil {
 		return ownership{}, writer{}, err
 	}
@@ -80,27 +79,38 @@
 	if err != nil {
 		return nil, err
 	}
+	followed, ok := kernel.Use[port.Executors](l.host)
+	if !ok {
+		return nil, errors.New("no plug-in provides the executors")
+	}
 	var reads sync.WaitGroup
 	var jobItems, progressItems []port.Item
-	var executors []site.Executor
-	var errs [3]error
+	var stored schedule.Stored
+	var errs [4]error
 	reads.Go(func() { jobItems, errs[0] = list(takeoverCtx, own.store, job.PrefixJob+pool+"/") })
 	reads.Go(func() { progressItems, errs[1] = list(takeoverCtx, own.store, job.PrefixProgress+pool+"/") })
-	reads.Go(func() { executors, errs[2] = l.listExecutors(takeoverCtx, own.store, pool) })
+	reads.Go(func() { stored.Used, stored.UsedLost, errs[2] = l.readUsed(takeoverCtx, own.store, pool) })
+	// The list is read after the epoch was written, because an earlier one may lack an executor on which the former owner
+	// has just started tasks.
+	reads.Go(func() {
+		_, errs[3] = readWithRetry(takeoverCtx, func(ctx context.Context) (struct{}, error) { return struct{}{}, followed.Follow(ctx) })
+	})
 	reads.Wait()
 	if err := errors.Join(errs[:]...); err != nil {
+		if errs[3] == nil {
+			followed.Unfollow()
+		}
 		return nil, err
 	}
-	stored, err := decodeJobs(pool, jobItems, progressItems)
-	if err != nil {
-		return nil, err
-	}
+	stored.Jobs, stored.Unreadable = l.decodeJobs(pool, jobItems, progressItems)
 	now := clock.SinceBoot()
 	d := directory.Directory()
+	stored.Listed = d.PoolExecutors(pool)
 	s := schedule.New(pool, own.epoch, schedule.DefaultPolicy(l.settings.MaxLease.Value()), now, time.Now().UnixMilli())
-	_, removed := d.PoolExecutors(pool, now) // may still run tasks for the former owner
-	state, effects := schedule.Recover(s, d.Config, stored, append(executors, removed...))
-	return newPoolOwner(ctx, l, own, w, state, effects), nil
+	state, effects := schedule.Recover(s, d.Config, stored)
+	o := newPoolOwner(ctx, l, own, w, state, effects)
+	o.release = followed.Unfollow
+	return o, nil
 }
 
 // list reads the items under a key prefix.
@@ -115,29 +125,33 @@
 	return items, nil
 }
 
-// listExecutors reads the executors of a pool from the store, because the directory may lack one on which the former
-// owner has just started tasks.
-func (l *link) listExecutors(ctx context.Context, store port.Store, pool string) ([]site.Executor, error) {
-	codec, ok := kernel.Use[port.SiteCodec](l.host)
-	if !ok {
-		return nil, errors.New("no plug-in provides a site codec")
+// readUsed reads which executors the former owner used. Another writer may have damaged the record, so an invalid one is
+// reported as lost.
+func (l *link) readUsed(ctx context.Context, store port.Store, pool string) (used cluster.Used, lost bool, err error) {
+	item, err := readWithRetry(ctx, func(ctx context.Context) (port.Item, error) { return store.Get(ctx, cluster.PrefixUsed+pool) })
+	if errors.Is(err, port.ErrNotFound) {
+		return cluster.Used{}, false, nil
 	}
-	items, err := list(ctx, store, codec.ExecutorPrefix())
 	if err != nil {
-		return nil, err
+		return cluster.Used{}, false, fmt.Errorf("read used executors: %w", err)
 	}
-	var executors []site.Executor
-	for _, item := range items {
-		// An invalid report is skipped here. The directory plug-in logs it.
-		if e, err := codec.Executor(item); err == nil && e.Pool == pool {
-			executors = append(executors, e)
-		}
+	used, err = job.Decode[cluster.Used](item.Value)
+	if err != nil {
+		l.logUnreadable(item, err)
+		return cluster.Used{}, true, nil
 	}
-	return executors, nil
+	return used, false, nil
 }
 
-// readWriteFence returns the write fence of a duty and its revision. Both are zero if the duty has never had an owner.
-func readWriteFence(ctx context.Context, store port.Store, duty string) (cluster.WriteFence, int64, error) {
+// logUnreadable logs a record of this project that cannot be decoded.
+func (l *link) logUnreadable(item port.Item, err error) {
+	l.meters.unreadable.Inc(1)
+	l.log.Error("invalid record in the store", "event", "record.unreadable", "key", item.Key, "revision", item.Revision, "error", err)
+}
+
+// readWriteFence returns the write fence of a duty and its revision. Both are zero if the duty has never had an owner. If
+// the item is invalid, the fence has the epoch of the owner's record, which is written together with it.
+func (l *link) readWriteFence(ctx context.Context, store port.Store, duty string, knownEpoch uint64) (cluster.WriteFence, int64, error) {
 	item, err := readWithRetry(ctx, func(ctx context.Context) (port.Item, error) { return store.Get(ctx, cluster.PrefixWriteFence+duty) })
 	if errors.Is(err, port.ErrNotFound) {
 		return cluster.WriteFence{}, 0, nil
@@ -146,27 +160,44 @@
 		return cluster.WriteFence{}, 0, fmt.Errorf("read write fence: %w", err)
 	}
 	fence, err := job.Decode[cluster.WriteFence](item.Value)
-	return fence, item.Revision, err
+	if err != nil {
+		l.logUnreadable(item, err)
+		fence = cluster.WriteFence{Epoch: knownEpoch}
+	}
+	return fence, item.Revision, nil
 }
 
-// decodeJobs returns the stored jobs of a pool. An invalid record fails the takeover, so that no job is lost.
-func decodeJobs(pool string, jobItems, progressItems []port.Item) ([]schedule.StoredJob, error) {
+// decodeJobs returns the stored jobs of a pool, and the IDs of those with an invalid record.
+func (l *link) decodeJobs(pool string, jobItems, progressItems []port.Item) (jobs []schedule.StoredJob, unreadable []job.ID) {
+	invalid := map[string]bool{}
 	progress := map[string]job.Progress{}
 	for _, item := range progressItems {
+		id := strings.TrimPrefix(item.Key, job.PrefixProgress+pool+"/")
 		p, err := job.Decode[job.Progress](item.Value)
 		if err != nil {
-			return nil, fmt.Errorf("decode item %q: %w", item.Key, err)
+			l.logUnreadable(item, err)
+			invalid[id] = true
+			continue
 		}
-		progress[strings.TrimPrefix(item.Key, job.PrefixProgress+pool+"/")] = p
+		progress[id] = p
 	}
-	stored := make([]schedule.StoredJob, 0, len(jobItems))
+	jobs = make([]schedule.StoredJob, 0, len(jobItems))
 	for _, item := range jobItems {
 		id := strings.TrimPrefix(item.Key, job.PrefixJob+pool+"/")
 		r, err := job.Decode[job.Record](item.Value)
+		if err == nil {
+			err = r.Validate(job.ID(id))
+		}
 		if err != nil {
-			return nil, fmt.Errorf("decode item %q: %w", item.Key, err)
+			l.logUnreadable(item, err)
+			invalid[id] = true
 		}
-		stored = append(stored, schedule.StoredJob{ID: job.ID(id), Record: r, Progress: progress[id]})
+		if !invalid[id] {
+			jobs = append(jobs, schedule.StoredJob{ID: job.ID(id), Record: r, Progress: progress[id]})
+		}
+	}
+	for id := range invalid {
+		unreadable = append(unreadable, job.ID(id))
 	}
-	return stored, nil
+	return jobs, unreadable
 }
--- a/internal/model/cluster/directory.go
+++ b/internal/model/cluster/directory.go
@@ -11,12 +11,11 @@
 type Directory struct {
 	Config    *site.Config // nil until a configuration was read
 	Waves     map[int64]DeclaredWave
-	Executors map[string]site.Executor
-	Gone      map[string]RemovedExecutor // removed recently; they may still run tasks
+	Executors map[string]site.Executor // nil while the executors are not followed
 	Members   map[string]Member
 	Owners    map[string]Owner
 	Listed    bool // the members and owners were read
-	Reported  bool // the executors were read
+	Reported  bool // the executors are followed and were read
 }
 
 // DeclaredWave is a wave and the time at which this daemon first saw it.
@@ -25,15 +24,6 @@
 	Seen time.Duration
 }
 
-// RemovedExecutor is an executor and the time at which it was removed from the list.
-type RemovedExecutor struct {
-	site.Executor
-	At time.Duration
-}
-
-// removedRetention is how long a removed executor is kept: longer than any lease that an owner requests from one.
-const removedRetention = 6 * time.Second
-
 func with[K comparable, V any](m map[K]V, key K, v V) map[K]V {
 	m = maps.Clone(m)
 	if m == nil {
@@ -72,25 +62,38 @@
 	return d
 }
 
-// WithExecutor returns a copy with an executor added or replaced.
-func (d Directory) WithExecutor(e site.Executor) Directory {
-	d.Executors = with(d.Executors, e.ID, e)
-	d.Gone = without(d.Gone, e.ID)
+// WithExecutors returns a copy with executors added or replaced, and others removed.
+func (d Directory) WithExecutors(put []site.Executor, removed []string) Directory {
+	d.Executors = maps.Clone(d.Executors)
+	if d.Executors == nil {
+		d.Executors = make(map[string]site.Executor, len(put))
+	}
+	for _, id := range removed {
+		delete(d.Executors, id)
+	}
+	for _, e := range put {
+		d.Executors[e.ID] = e
+	}
 	return d
 }
 
-// WithoutExecutor returns a copy in which an executor is marked as removed.
-func (d Directory) WithoutExecutor(id string, now time.Duration) Directory {
-	e, ok := d.Executors[id]
-	if !ok {
-		return d
+// WithoutExecutors returns a copy that does not follow the executors.
+func (d Directory) WithoutExecutors() Directory {
+	d.Executors, d.Reported = nil, false
+	return d
+}
+
+// WithMembers returns a copy with members added or replaced, and others removed.
+func (d Directory) WithMembers(put []Member, removed []string) Directory {
+	d.Members = maps.Clone(d.Members)
+	if d.Members == nil {
+		d.Members = make(map[string]Member, len(put))
 	}
-	d.Executors = without(d.Executors, id)
-	d.Gone = with(d.Gone, id, RemovedExecutor{Executor: e, At: now})
-	for id, r := range d.Gone {
-		if now-r.At > removedRetention {
-			d.Gone = without(d.Gone, id)
-		}
+	for _, name := range removed {
+		delete(d.Members, name)
+	}
+	for _, m := range put {
+		d.Members[m.Name] = m
 	}
 	return d
 }
@@ -132,17 +135,13 @@
 	return o, ok && m.Start == o.Start
 }
 
-// PoolExecutors returns the executors of a pool: those in the list, and those removed from it recently.
-func (d Directory) PoolExecutors(pool string, now time.Duration) (listed, removed []site.Executor) {
+// PoolExecutors returns the listed executors of a pool.
+func (d Directory) PoolExecutors(pool string) []site.Executor {
+	var listed []site.Executor
 	for _, e := range d.Executors {
 		if e.Pool == pool {
 			listed = append(listed, e)
 		}
 	}
-	for _, r := range d.Gone {
-		if r.Pool == pool && now-r.At <= removedRetention {
-			removed = append(removed, r.Executor)
-		}
-	}
-	return listed, removed
+	return listed
 }
--- a/internal/model/cluster/record.go
+++ b/internal/model/cluster/record.go
@@ -1,5 +1,11 @@
 package cluster
 
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+)
+
 // Key prefixes of the daemons' records in the store.
 const (
 	Prefix           = "teaselloft/own/"
@@ -40,3 +46,46 @@
 	Start  int64  `cbor:"start"`
 	Number uint64 `cbor:"number"` // sequence number of the write within the epoch
 }
+
+// PrefixUsed is the key prefix of the records of the executors that the owner of a pool uses. The pool name follows.
+const PrefixUsed = "teaselloft/used/"
+
+// Used lists the executors on which the owner of a pool may have runs. An executor whose entry has expired while it was
+// cut off from the store still runs its tasks, so the next owner needs to know it.
+type Used struct {
+	Executors []UsedExecutor `cbor:"executors"`
+}
+
+// UsedExecutor is one incarnation of an executor.
+type UsedExecutor struct {
+	ID       string `cbor:"id"`
+	Address  string `cbor:"address"`
+	Instance string `cbor:"instance,omitempty"`
+	Born     int64  `cbor:"born,omitempty"` // start time in Unix milliseconds
+}
+
+// ErrRecord is wrapped by the errors about records whose content contradicts their key or cannot be used.
+var ErrRecord = errors.New("invalid record")
+
+// Validate returns an error unless the record describes the named member.
+func (m Member) Validate(name string) error {
+	if m.Name != name {
+		return fmt.Errorf("%w: member is named %q, its key %q", ErrRecord, m.Name, name)
+	}
+	return validateAddress(m.Address)
+}
+
+// Validate returns an error unless the record describes the owner of the duty.
+func (o Owner) Validate(duty string) error {
+	if o.Duty != duty {
+		return fmt.Errorf("%w: owner of duty %q, its key names %q", ErrRecord, o.Duty, duty)
+	}
+	return validateAddress(o.Address)
+}
+
+func validateAddress(address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return fmt.Errorf("%w: address %q: %w", ErrRecord, address, err)
+	}
+	return nil
+}
--- a/internal/model/job/record.go
+++ b/internal/model/job/record.go
@@ -1,11 +1,15 @@
 package job
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
+// ErrRecord is wrapped by the errors about records that cannot be used.
+var ErrRecord = errors.New("invalid record")
+
 // Key prefixes of the records in the store. The pool name and the job ID follow.
 const (
 	PrefixJob      = "teaselloft/job/"
@@ -22,6 +26,23 @@
 	Ended      int64       `cbor:"ended,omitempty"`    // Unix milliseconds
 }
 
+// Validate returns an error unless the record can belong to the job with the given ID.
+func (r Record) Validate(id ID) error {
+	switch {
+	case !id.Valid():
+		return fmt.Errorf("%w: id %q", ErrRecord, id)
+	case r.State < Queued || r.State > Cancelled:
+		return fmt.Errorf("%w: state %d", ErrRecord, int(r.State))
+	case r.Submission == nil && !r.State.Final():
+		return fmt.Errorf("%w: neither a submission nor an outcome", ErrRecord)
+	case r.Submission == nil:
+		return nil
+	case r.Submission.ID != id:
+		return fmt.Errorf("%w: submission of job %q", ErrRecord, r.Submission.ID)
+	}
+	return r.Submission.Validate()
+}
+
 // Progress is the stored form of the done tasks and failed runs of a job that has not ended.
 type Progress struct {
 	Steps []StepProgress `cbor:"steps"`
--- a/internal/model/job/submission.go
+++ b/internal/model/job/submission.go
@@ -16,11 +16,12 @@
 // Limits of a submission. MaxSpec is the documented limit for callers.
 // The others keep the record of a job within the size of one value in the store.
 const (
-	MaxSpec        = 4000    // bytes
-	MaxSteps       = 256     // steps per job
-	MaxTasks       = 4096    // tasks per occurrence of a job
-	MaxOccurrences = 100_000 // occurrences per repeated job
-	maxResource    = 1 << 40 // keeps the sum of all tasks' resources within int64
+	MaxSpec        = 4000                 // bytes
+	MaxSteps       = 256                  // steps per job
+	MaxTasks       = 4096                 // tasks per occurrence of a job
+	MaxOccurrences = 100_000              // occurrences per repeated job
+	MaxResource    = 1 << 40              // keeps the sum of all tasks' resources within int64
+	MaxDuration    = 366 * 24 * time.Hour // of an estimate, a target or an interval; keeps sums over a job within int64
 )
 
 // ID identifies a job. It consists of 16 hexadecimal digits that the caller chooses.
@@ -118,6 +119,8 @@
 		return fmt.Errorf("%w: job repeats %d times, the limit is %d", ErrInvalid, s.Repeat, MaxOccurrences)
 	case s.Start < 0 || s.Interval < 0:
 		return fmt.Errorf("%w: start or interval of the schedule is negative", ErrInvalid)
+	case s.Interval > MaxDuration:
+		return fmt.Errorf("%w: interval of the schedule is longer than %v", ErrInvalid, MaxDuration)
 	}
 	tasks := 0
 	for i, step := range s.Steps {
@@ -141,8 +144,10 @@
 		return invalid(fmt.Sprintf("count %d is not 1 to %d", s.Count, MaxTasks))
 	case n.CPU < 0 || n.Memory < 0 || n.GPU < 0:
 		return invalid("a resource is negative")
-	case n.CPU > maxResource || n.Memory > maxResource || n.GPU > maxResource:
+	case n.CPU > MaxResource || n.Memory > MaxResource || n.GPU > MaxResource:
 		return invalid("a resource is too large")
+	case s.Estimate > MaxDuration || s.LatencyTarget > MaxDuration:
+		return invalid("estimate or target is too long")
 	case s.Estimate < 0 || s.LatencyTarget < 0 || s.MaxPerExecutor < 0 || s.AllowedMisses < 0:
 		return invalid("estimate, target, anti-affinity or allowed misses is negative")
 	}
--- a/internal/model/job/task.go
+++ b/internal/model/job/task.go
@@ -30,7 +30,7 @@
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}[o]
+	return nameOf([]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}, int(o))
 }
 
 // State is the state of a job as reported to callers.
@@ -47,10 +47,18 @@
 
 // String returns the lower-case name of the state.
 func (s State) String() string {
-	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[s]
+	return nameOf([]string{"queued", "running", "completed", "failed", "cancelled"}, int(s))
+}
+
+// nameOf returns the name with an index. A value from another process may be out of range.
+func nameOf(names []string, index int) string {
+	if index < 0 || index >= len(names) {
+		return fmt.Sprintf("unknown(%d)", index)
+	}
+	return names[index]
 }
 
 // Final reports whether the state is terminal.
 func (s State) Final() bool {
-	return s >= Completed
+	return s >= Completed && s <= Cancelled
 }
--- a/internal/model/port/jobservice.go
+++ b/internal/model/port/jobservice.go
@@ -45,7 +45,8 @@
 	OperatorPrefix() string
 	// ExecutorPrefix returns the key prefix of the executors' reports.
 	ExecutorPrefix() string
-	// Config decodes a configuration. If the item is not a configuration, ok is false.
+	// Config decodes a configuration. If the item is not a configuration, ok is false. A configuration that is returned
+	// together with an error lacks the invalid entries that the error names.
 	Config(i Item) (c *site.Config, ok bool, err error)
 	// Wave decodes a maintenance wave. If the item is not a wave, ok is false.
 	Wave(i Item) (w site.Wave, ok bool, err error)
--- a/internal/model/port/owner.go
+++ b/internal/model/port/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"teaselloft/internal/core/kernel"
@@ -27,6 +28,14 @@
 	Outage() (start, end time.Duration)
 }
 
+// Executors keeps the executors in the directory. They are followed only while a pool of this daemon needs them.
+type Executors interface {
+	// Follow reads the executors into the directory and keeps them current until Unfollow is called. The list is read
+	// after the call began. Follow may be called several times; each successful call needs an Unfollow.
+	Follow(ctx context.Context) error
+	Unfollow()
+}
+
 // Membership describes the registration of this daemon.
 type Membership interface {
 	// Self returns the daemon's member record. Before a lease is granted, ok is false.
@@ -59,6 +68,23 @@
 	Executors map[string]ExecutorLoad `cbor:"executors"`
 }
 
+// ErrLoad is returned for a load with an amount that no pool can have.
+var ErrLoad = errors.New("invalid load")
+
+// Validate checks a load that another process has sent, so that sums over all pools cannot overflow.
+func (l Load) Validate() error {
+	valid := func(n int64) bool { return n >= 0 && n <= job.MaxResource*job.MaxTasks }
+	if !valid(l.Backlog) || !valid(l.Late) {
+		return fmt.Errorf("%w: backlog %d, late %d", ErrLoad, l.Backlog, l.Late)
+	}
+	for id, e := range l.Executors {
+		if !valid(e.CPU) || e.Runs < 0 || e.LongRunning < 0 {
+			return fmt.Errorf("%w: executor %.40q: %+v", ErrLoad, id, e)
+		}
+	}
+	return nil
+}
+
 // ExecutorLoad is the load of an executor.
 type ExecutorLoad struct {
 	CPU         int64 `cbor:"cpu"` // millicores
