Commit changes of a pool in four lanes

Cause: an owner had one commit of up to 30 records in flight, at most 33 a second. Ruled out: the owner's processor time (0.16 of 0.8 cores) and the store's limit.

Change: up to four commits in flight, each in a lane with its own write fence and under a condition on the owner's record. A further commit is sent only if it is full, so that small sites make as many calls as before. A job is in one commit at a time.

--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -11,36 +11,67 @@
 	"teaselloft/internal/model/port"
 )
 
-// commit emits a Commit of the changed jobs, unless one is in flight.
+// commit emits Commits of the changed jobs. While one is in flight, others follow only if they are full, so that an owner
+// with few changes makes few calls to the store.
 func (t *transition) commit() {
-	if t.s.inFlight != nil || t.s.now < t.s.lastCommitResultAt+t.s.policy.CommitInterval || t.s.changed.Len() == 0 && !t.s.awaitsConfirmation() {
-		return
+	for lane := range t.s.inFlight {
+		if t.s.inFlight[lane] != nil {
+			continue
+		}
+		eligible := t.s.eligibleChanges()
+		first := !t.s.committing()
+		if first && (t.s.now < t.s.lastCommitResultAt+t.s.policy.CommitInterval || len(eligible) == 0 && !t.s.awaitsConfirmation()) {
+			return
+		}
+		if !first && len(eligible) < fullCommit {
+			return
+		}
+		t.commitChanges(lane, eligible)
 	}
+}
+
+// fullCommit is the number of changed jobs that fill a commit; some take two entries.
+const fullCommit = maxCommitEntries * 3 / 4
+
+// committing reports whether a commit is in flight.
+func (s State) committing() bool {
+	return slices.ContainsFunc(s.inFlight[:], func(p *pendingCommit) bool { return p != nil })
+}
+
+// eligibleChanges returns the jobs that a commit can contain, the oldest change first.
+func (s State) eligibleChanges() []*jobState {
+	var jobs []*jobState
+	for i := s.changed.Iterator(); !i.Done() && len(jobs) < maxCommitEntries; {
+		_, id, _ := i.Next()
+		if j, ok := s.jobs.Get(id); ok && !j.inCommit {
+			jobs = append(jobs, j)
+		}
+	}
+	return jobs
+}
+
+func (t *transition) commitChanges(lane int, changed []*jobState) {
 	t.s.lastCommit++
 	p := pendingCommit{number: t.s.lastCommit, sent: t.s.now, used: t.s.usedChanged}
-	c := Commit{Number: p.number}
+	c := Commit{Lane: lane, Number: p.number}
 	if p.used {
 		c.Writes = append(c.Writes, t.s.usedRecord())
 		t.s.usedChanged = false
 	}
-	for i := t.s.changed.Iterator(); !i.Done(); {
-		gen, id, _ := i.Next()
-		j, ok := t.s.job(id)
-		if !ok {
-			t.s.changed = t.s.changed.Delete(gen)
-			continue
-		}
+	for _, x := range changed {
+		j := *x
 		writes, deletes := t.s.recordChanges(j)
 		if len(c.Writes)+len(c.Deletes)+len(writes)+len(deletes) > maxCommitEntries {
 			break
 		}
 		c.Writes, c.Deletes = append(c.Writes, writes...), append(c.Deletes, deletes...)
-		p.jobs = append(p.jobs, pendingJob{id: id, generation: gen, outcome: j.outcome, stored: j.stored, cancelTokens: j.cancelTokens})
-		t.s.changed = t.s.changed.Delete(gen)
-		j.dirtyGeneration, j.cancelTokens = 0, nil
+		p.jobs = append(p.jobs, pendingJob{id: j.sub.ID, generation: j.dirtyGeneration, outcome: j.outcome, stored: j.stored, cancelTokens: j.cancelTokens})
+		t.s.changed = t.s.changed.Delete(j.dirtyGeneration)
+		j.progressWritten = j.progressWritten || j.stored && !j.outcome.Final()
+		j.dirtyGeneration, j.cancelTokens, j.inCommit = 0, nil, true
 		t.s = t.s.withJob(j)
 	}
-	t.s.inFlight = &p
+	t.s.inFlight[lane] = &p
 	t.emit(c)
 }
 
@@ -69,7 +100,10 @@
 		return nil, []string{key}
 	case j.outcome.Final():
 		r := job.Record{State: j.outcome, Digest: j.digest, Queue: j.sub.Queue, Accepted: j.accepted, Ended: s.unixMilli}
-		return []port.Write{{Key: key, Value: job.Encode(r)}}, []string{progress}
+		if j.progressWritten {
+			deletes = []string{progress}
+		}
+		return []port.Write{{Key: key, Value: job.Encode(r)}}, deletes
 	case !j.stored:
 		sub := j.sub
 		r := job.Record{Submission: &sub, Digest: j.digest, Queue: j.sub.Queue, Accepted: j.accepted}
@@ -83,12 +117,19 @@
 const refusedWriteBackoff = 100 * time.Millisecond
 
 func (t *transition) handleCommitResult(m CommitResult) {
-	p := t.s.inFlight
-	if p == nil || p.number != m.Number {
+	lane := t.s.laneOf(m.Number)
+	if lane < 0 {
 		return
 	}
-	t.s.inFlight = nil
+	p := t.s.inFlight[lane]
+	t.s.inFlight[lane] = nil
 	t.s.lastCommitResultAt = m.Now
+	for _, x := range p.jobs {
+		if j, ok := t.s.job(x.id); ok {
+			j.inCommit = false
+			t.s = t.s.withJob(j)
+		}
+	}
 	if errors.Is(m.Err, port.ErrRefused) {
 		t.s.lastCommitResultAt = m.Now + refusedWriteBackoff
 		t.s.usedChanged = t.s.usedChanged || p.used
@@ -98,7 +139,7 @@
 		return
 	}
 	t.s.placementDue = t.s.placementDue || t.s.awaitsConfirmation()
-	t.s.confirmedAt = p.sent
+	t.s.confirmedAt = max(t.s.confirmedAt, p.sent)
 	for _, x := range p.jobs {
 		t.markStored(x)
 	}
@@ -120,23 +161,31 @@
 	return port.ErrNoJob
 }
 
-// includes reports whether the commit writes a job.
-func (p *pendingCommit) includes(id job.ID) bool {
-	return slices.ContainsFunc(p.jobs, func(x pendingJob) bool { return x.id == id })
+// laneOf returns the lane of a commit in flight, or -1.
+func (s State) laneOf(number uint64) int {
+	return slices.IndexFunc(s.inFlight[:], func(p *pendingCommit) bool { return p != nil && p.number == number })
+}
+
+// stalled reports whether the store did not answer a commit.
+func (s State) stalled() bool {
+	return slices.ContainsFunc(s.inFlight[:], func(p *pendingCommit) bool { return p != nil && p.stalled })
 }
 
 // isStalled reports whether a job is in a commit whose store call got no answer.
-func (p *pendingCommit) isStalled(id job.ID) bool {
-	return p != nil && p.stalled && p.includes(id)
+func (s State) isStalled(id job.ID) bool {
+	return slices.ContainsFunc(s.inFlight[:], func(p *pendingCommit) bool {
+		return p != nil && p.stalled && slices.ContainsFunc(p.jobs, func(x pendingJob) bool { return x.id == id })
+	})
 }
 
 // handleCommitStalled answers the callers that wait for a store that does not respond. The outcome is unknown for jobs
 // in the commit; new jobs that are not part of it are refused.
 func (t *transition) handleCommitStalled(m CommitStalled) {
-	if t.s.inFlight == nil || t.s.inFlight.number != m.Number || t.s.inFlight.stalled {
+	lane := t.s.laneOf(m.Number)
+	if lane < 0 || t.s.inFlight[lane].stalled {
 		return
 	}
-	p := *t.s.inFlight
+	p := *t.s.inFlight[lane]
 	p.stalled, p.jobs = true, slices.Clone(p.jobs)
 	for i, x := range p.jobs {
 		t.answer(port.ErrUnknownOutcome, x.cancelTokens)
@@ -147,11 +196,11 @@
 			t.s = t.s.withJob(j)
 		}
 	}
-	t.s.inFlight = &p
+	t.s.inFlight[lane] = &p
 	for i := t.s.changed.Iterator(); !i.Done(); {
 		gen, id, _ := i.Next()
 		j, ok := t.s.job(id)
-		if !ok || j.stored || p.includes(id) {
+		if !ok || j.stored || j.inCommit {
 			continue
 		}
 		t.emit(note(slog.LevelInfo, "job.refused", "job", string(id), "reason", "store does not answer"))
@@ -260,6 +309,13 @@
 		gen, _, _ := first.Next()
 		stored = gen - 1
 	}
+	for _, p := range t.s.inFlight {
+		if p != nil {
+			for _, x := range p.jobs {
+				stored = min(stored, x.generation-1)
+			}
+		}
+	}
 	t.s.eachExecutor(func(x *executorState) {
 		if len(x.pendingAcks) == 0 {
 			return
--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -153,7 +153,7 @@
 func (t *transition) planNextHeartbeat(id string, generationBefore uint64) {
 	e, _ := t.s.executor(id)
 	if e.lastEnd > e.ackedEnd {
-		if t.s.generation == generationBefore && t.s.changed.Len() == 0 && t.s.inFlight == nil {
+		if t.s.generation == generationBefore && t.s.changed.Len() == 0 && !t.s.committing() {
 			e.ackedEnd, e.pendingAcks = e.lastEnd, nil
 		} else if len(e.pendingAcks) == 0 || e.pendingAcks[len(e.pendingAcks)-1].number < e.lastEnd {
 			e.pendingAcks = append(slices.Clip(e.pendingAcks), pendingAck{number: e.lastEnd, generation: t.s.generation})
--- a/internal/decision/schedule/job.go
+++ b/internal/decision/schedule/job.go
@@ -75,6 +75,8 @@
 	submitTokens    []uint64 // submissions to answer once the job is stored
 	cancelTokens    []uint64 // cancellations to answer once the outcome is stored
 	dirtyGeneration uint64   // generation of the oldest change that is not in a commit, 0 if there is none
+	inCommit        bool     // a commit in flight contains the job
+	progressWritten bool     // the store may have a progress record
 	digest          uint64
 	advice          map[int]advice
 }
--- a/internal/decision/schedule/message.go
+++ b/internal/decision/schedule/message.go
@@ -134,8 +134,10 @@
 	Empty []string // for a Vacate: executors without runs, on which none will start
 }
 
-// Commit writes and deletes records in the store; a CommitResult with the same number follows.
+// Commit writes and deletes records in the store; a CommitResult with the same number follows. Commits of one lane are
+// applied in their order.
 type Commit struct {
+	Lane    int
 	Number  uint64
 	Writes  []port.Write
 	Deletes []string
--- a/internal/decision/schedule/policy.go
+++ b/internal/decision/schedule/policy.go
@@ -25,7 +25,7 @@
 	maxHeartbeatWait         = 1500 * time.Millisecond // so that a silent executor is detected well before its lease ends
 	leaseMargin              = 100 * time.Millisecond  // added to the latest expiry of a lease or a start order
 	runsPerEpoch             = 10_000                  // run numbers reserved for an epoch; those of a new owner exceed all earlier ones
-	maxCommitEntries         = port.MaxTxnOps - 2      // entries besides the condition on the write fence and its write
+	maxCommitEntries         = port.MaxTxnOps - 3      // entries besides the conditions on the owner and the write fence, and its write
 )
 
 // DefaultPolicy returns the policy for executors that accept leases of at most maxLease.
--- a/internal/decision/schedule/recover.go
+++ b/internal/decision/schedule/recover.go
@@ -97,7 +97,7 @@
 func (t *transition) recoverJob(x StoredJob) {
 	j := t.s.newJob(*x.Record.Submission, x.Record.Digest, x.Record.Accepted, t.s.now)
 	j.objective -= time.Duration(t.s.unixMilli-x.Record.Accepted) * time.Millisecond
-	j.stored, j.recovered = true, true
+	j.stored, j.recovered, j.progressWritten = true, true, true
 	if j.sub.Repeat > 0 {
 		next := 0
 		for next < j.sub.Occurrences() && j.sub.Due(next) <= t.s.unixMilli {
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -29,17 +29,20 @@
 	ended              *immutable.Map[job.ID, struct{}]     // ended jobs, kept for the retention
 	generation         uint64                               // last generation assigned to a changed job
 	lastCommit         uint64                               // number of the last commit
-	inFlight           *pendingCommit
-	lastCommitResultAt time.Duration   // when the last result arrived, plus a backoff if the store refused the commit
-	lastOpenedAt       time.Duration   // when an executor has last answered this owner for the first time
-	confirmedAt        time.Duration   // when the last successful commit was sent, at which time this owner still owned the pool
-	usedChanged        bool            // the stored record of the used executors is out of date
-	unsettled          map[string]bool // executors that may have runs of the former owner and have not answered yet
-	settleDeadline     time.Duration   // by then the leases of those executors have expired
+	inFlight           [Lanes]*pendingCommit                // by lane; nil for a free lane
+	lastCommitResultAt time.Duration                        // when the last result arrived, plus a backoff if the store refused the commit
+	lastOpenedAt       time.Duration                        // when an executor has last answered this owner for the first time
+	confirmedAt        time.Duration                        // when the last successful commit was sent, at which time this owner still owned the pool
+	usedChanged        bool                                 // the stored record of the used executors is out of date
+	unsettled          map[string]bool                      // executors that may have runs of the former owner and have not answered yet
+	settleDeadline     time.Duration                        // by then the leases of those executors have expired
 	lastSweep          time.Duration
 	placementDue       bool // whether the next scheduling cycle has to look for tasks to start
 }
 
+// Lanes is the number of commits that may be in flight at a time. Changes of one job are always in one commit at a time.
+const Lanes = 4
+
 // pendingCommit is a commit without a result yet.
 type pendingCommit struct {
 	number  uint64
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -190,7 +190,7 @@
 			t.emit(Answer{Token: m.Token, Err: port.ErrIDConflict})
 		case j.stored:
 			t.emit(Answer{Token: m.Token})
-		case t.s.inFlight.isStalled(m.Submission.ID):
+		case t.s.isStalled(m.Submission.ID):
 			t.emit(Answer{Token: m.Token, Err: port.ErrUnknownOutcome})
 		default:
 			j.submitTokens = append(slices.Clip(j.submitTokens), m.Token)
@@ -198,7 +198,7 @@
 		}
 		return
 	}
-	if t.s.inFlight != nil && t.s.inFlight.stalled {
+	if t.s.stalled() {
 		t.emit(Answer{Token: m.Token, Err: port.ErrNotAccepted})
 		return
 	}
--- a/internal/link/pool/fleet_owner.go
+++ b/internal/link/pool/fleet_owner.go
@@ -58,7 +58,7 @@
 	if !ok {
 		return nil, errors.New("no plug-in provides the instance list")
 	}
-	own, w, err := l.writeNewEpoch(takeoverCtx, duty, self, directory.Directory().Owners[duty].Epoch)
+	own, writers, err := l.writeNewEpoch(takeoverCtx, duty, self, directory.Directory().Owners[duty].Epoch)
 	if err != nil {
 		return nil, err
 	}
@@ -80,7 +80,7 @@
 		completed[number] = done
 	}
 	f := &fleetOwner{
-		ownership: own, link: l, directory: directory, instances: instances, writer: w, lastErrors: map[string]string{}, done: make(chan struct{}),
+		ownership: own, link: l, directory: directory, instances: instances, writer: writers[0], lastErrors: map[string]string{}, done: make(chan struct{}),
 		outcomes: ring.New[maintenance.OrderResult]("fleet.outcomes", outcomeCapacity, ring.Block, l.host.Metrics),
 	}
 	s := maintenance.New(completed)
--- a/internal/link/pool/pool_owner.go
+++ b/internal/link/pool/pool_owner.go
@@ -32,12 +32,12 @@
 	ownership
 	link           *link
 	messages       *ring.Ring[schedule.Message]
-	commits        *ring.Ring[schedule.Commit]
+	commits        [schedule.Lanes]*ring.Ring[schedule.Commit]
 	advice         *ring.Ring[schedule.Advise]
 	state          atomic.Pointer[schedule.State]
 	initialEffects []schedule.Effect // of the recovery, performed when run starts
-	writer         writer
-	context        context.Context // of run
+	writers        []writer          // by lane; used only by the duties of the lanes
+	context        context.Context   // of run
 	cancel         context.CancelFunc
 	done           chan struct{} // closed when run returns
 	lostCalls      *ring.Ring[port.ExecutorCall]
@@ -60,16 +60,18 @@
 	executors map[string]site.Executor
 }
 
-func newPoolOwner(ctx context.Context, l *link, own ownership, w writer, s schedule.State, initialEffects []schedule.Effect) *poolOwner {
+func newPoolOwner(ctx context.Context, l *link, own ownership, writers []writer, s schedule.State, initialEffects []schedule.Effect) *poolOwner {
 	o := &poolOwner{
 		link: l, ownership: own, initialEffects: initialEffects,
 		messages:  ring.New[schedule.Message]("pool.messages", messageCapacity, ring.Refuse, l.host.Metrics),
-		commits:   ring.New[schedule.Commit]("pool.commits", 1, ring.Block, l.host.Metrics),
 		advice:    ring.New[schedule.Advise]("pool.advice", adviceCapacity, ring.Refuse, l.host.Metrics),
-		writer:    w,
+		writers:   writers,
 		lostCalls: ring.New[port.ExecutorCall]("pool.lost", lostCapacity, ring.Refuse, l.host.Metrics),
 		done:      make(chan struct{}), conns: map[string]*executorConn{}, relays: map[string]*relayConn{}, suspected: map[string]time.Duration{}, replies: map[uint64]*ring.Ring[schedule.Answer]{},
 	}
+	for lane := range o.commits {
+		o.commits[lane] = ring.New[schedule.Commit](fmt.Sprintf("pool.commits.%d", lane), 1, ring.Block, l.host.Metrics)
+	}
 	o.context, o.cancel = context.WithCancel(ctx)
 	o.state.Store(&s)
 	return o
@@ -94,7 +96,9 @@
 	defer o.shutdown()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { o.commitLoop(ctx) })
+	for lane, commits := range o.commits {
+		wg.Go(func() { o.commitLoop(ctx, commits, o.writers[lane]) })
+	}
 	wg.Go(func() { o.adviceLoop(ctx) })
 	o.perform(ctx, o.initialEffects)
 	lastAssignment := clock.SinceBoot()
@@ -165,7 +169,7 @@
 		case schedule.Answer:
 			o.answer(e)
 		case schedule.Commit:
-			if err := o.commits.Push(ctx, e); err != nil {
+			if err := o.commits[e.Lane].Push(ctx, e); err != nil {
 				return // the owner is stopped
 			}
 		case schedule.StartRun:
--- a/internal/link/pool/takeover.go
+++ b/internal/link/pool/takeover.go
@@ -47,35 +47,45 @@
 	}
 }
 
-// writeNewEpoch takes a duty over by writing a new epoch, which fences off all writes of the former owner.
-func (l *link) writeNewEpoch(ctx context.Context, duty string, self cluster.Member, knownEpoch uint64) (ownership, writer, error) {
+// writeNewEpoch takes a duty over by writing a new epoch, which fences off all writes of the former owner. It returns a
+// writer for each lane.
+func (l *link) writeNewEpoch(ctx context.Context, duty string, self cluster.Member, knownEpoch uint64) (ownership, []writer, error) {
 	store, ok := kernel.Use[port.Store](l.host)
 	if !ok {
-		return ownership{}, writer{}, errors.New("no plug-in provides a store")
+		return ownership{}, nil, errors.New("no plug-in provides a store")
 	}
 	fence, revision, err := l.readWriteFence(ctx, store, duty, knownEpoch)
 	if err != nil {
-		return ownership{}, writer{}, err
+		return ownership{}, nil, err
 	}
 	if fence.Epoch != knownEpoch {
-		return ownership{}, writer{}, fmt.Errorf("%w: store has epoch %d written by %s, directory has epoch %d", errStaleDirectory, fence.Epoch, fence.Name, knownEpoch)
+		return ownership{}, nil, fmt.Errorf("%w: store has epoch %d written by %s, directory has epoch %d", errStaleDirectory, fence.Epoch, fence.Name, knownEpoch)
 	}
 	epoch := fence.Epoch + 1
 	next := cluster.WriteFence{Epoch: epoch, Name: self.Name, Start: self.Start}
 	record := cluster.Owner{Duty: duty, Name: self.Name, Start: self.Start, Address: self.Address, Epoch: epoch}
-	w := writer{store: store, key: cluster.PrefixWriteFence + duty, revision: revision, fence: fence}
-	c := schedule.Commit{Writes: []port.Write{{Key: cluster.PrefixOwner + duty, Value: job.Encode(record)}}}
+	w := writer{store: store, key: cluster.WriteFenceKey(duty, 0), revision: revision, fence: fence, ownerKey: cluster.PrefixOwner + duty}
+	c := schedule.Commit{Writes: []port.Write{{Key: w.ownerKey, Value: job.Encode(record)}}}
+	for lane := 1; lane < schedule.Lanes; lane++ {
+		c.Writes = append(c.Writes, port.Write{Key: cluster.WriteFenceKey(duty, lane), Value: job.Encode(next)})
+	}
 	if err := w.applyWithFence(ctx, next, c, l.log, func() {}); err != nil {
 		// The write may still take effect. The record then names this daemon, which claims the duty again.
-		return ownership{}, writer{}, fmt.Errorf("write epoch %d: %w", epoch, err)
+		return ownership{}, nil, fmt.Errorf("write epoch %d: %w", epoch, err)
+	}
+	w.ownerRevision = w.revision // all keys of a transaction get its revision
+	writers := make([]writer, schedule.Lanes)
+	for lane := range writers {
+		writers[lane] = w
+		writers[lane].key = cluster.WriteFenceKey(duty, lane)
 	}
-	return ownership{duty: duty, epoch: epoch, self: self, store: store}, w, nil
+	return ownership{duty: duty, epoch: epoch, self: self, store: store}, writers, nil
 }
 
 // takeOverPool takes a pool over and reads the records of its former owner. The takeover is bounded by takeoverCtx, and
 // the duty runs until ctx ends.
 func (l *link) takeOverPool(takeoverCtx, ctx context.Context, pool string, self cluster.Member, directory port.Directory) (dutyRunner, error) {
-	own, w, err := l.writeNewEpoch(takeoverCtx, pool, self, directory.Directory().Owners[pool].Epoch)
+	own, writers, err := l.writeNewEpoch(takeoverCtx, pool, self, directory.Directory().Owners[pool].Epoch)
 	if err != nil {
 		return nil, err
 	}
@@ -108,7 +118,7 @@
 	stored.Listed = d.PoolExecutors(pool)
 	s := schedule.New(pool, own.epoch, schedule.DefaultPolicy(l.settings.MaxLease.Value()), now, time.Now().UnixMilli())
 	state, effects := schedule.Recover(s, d.Config, stored)
-	o := newPoolOwner(ctx, l, own, w, state, effects)
+	o := newPoolOwner(ctx, l, own, writers, state, effects)
 	o.release = followed.Unfollow
 	return o, nil
 }
@@ -152,7 +162,7 @@
 // readWriteFence returns the write fence of a duty and its revision. Both are zero if the duty has never had an owner. If
 // the item is invalid, the fence has the epoch of the owner's record, which is written together with it.
 func (l *link) readWriteFence(ctx context.Context, store port.Store, duty string, knownEpoch uint64) (cluster.WriteFence, int64, error) {
-	item, err := readWithRetry(ctx, func(ctx context.Context) (port.Item, error) { return store.Get(ctx, cluster.PrefixWriteFence+duty) })
+	item, err := readWithRetry(ctx, func(ctx context.Context) (port.Item, error) { return store.Get(ctx, cluster.WriteFenceKey(duty, 0)) })
 	if errors.Is(err, port.ErrNotFound) {
 		return cluster.WriteFence{}, 0, nil
 	}
--- a/internal/link/pool/writer.go
+++ b/internal/link/pool/writer.go
@@ -9,6 +9,7 @@
 
 	"teaselloft/internal/core/clock"
 	"teaselloft/internal/core/kernel"
+	"teaselloft/internal/core/ring"
 	"teaselloft/internal/decision/schedule"
 	"teaselloft/internal/model/cluster"
 	"teaselloft/internal/model/job"
@@ -26,23 +27,26 @@
 
 var errSuperseded = errors.New("another daemon has written a newer epoch")
 
-// writer applies the writes of one owner, one at a time, each under the condition on the write fence.
+// writer applies the writes of one lane of an owner, one at a time, each under the conditions on the lane's write fence
+// and on the record of the owner. The fence orders the writes of the lane; the record changes with each takeover.
 type writer struct {
-	store    port.Store
-	key      string
-	revision int64 // of the write fence
-	fence    cluster.WriteFence
+	store         port.Store
+	key           string
+	revision      int64 // of the write fence
+	fence         cluster.WriteFence
+	ownerKey      string
+	ownerRevision int64 // 0 for the write that takes a duty over
 }
 
-// commitLoop applies the commits of the owner.
-func (o *poolOwner) commitLoop(ctx context.Context) {
+// commitLoop applies the commits of a lane.
+func (o *poolOwner) commitLoop(ctx context.Context, commits *ring.Ring[schedule.Commit], w writer) {
 	for {
-		c, err := o.commits.Pull(ctx)
+		c, err := commits.Pull(ctx)
 		if err != nil {
 			return
 		}
 		start := clock.SinceBoot()
-		err = o.writer.apply(ctx, c, o.link.log, func() {
+		err = w.apply(ctx, c, o.link.log, func() {
 			o.enqueue(ctx, schedule.CommitStalled{Now: clock.SinceBoot(), Number: c.Number})
 		})
 		o.link.meters.commit.Update((clock.SinceBoot() - start).Milliseconds())
@@ -71,7 +75,7 @@
 // applyWithFence applies a commit as apply does and sets the write fence to next.
 func (w *writer) applyWithFence(ctx context.Context, next cluster.WriteFence, c schedule.Commit, log *slog.Logger, stalled func()) error {
 	txn := port.Txn{
-		Conditions: []port.Condition{{Key: w.key, Revision: w.revision}},
+		Conditions: w.conditions(),
 		Writes:     append([]port.Write{{Key: w.key, Value: job.Encode(next)}}, c.Writes...),
 		Deletes:    c.Deletes,
 	}
@@ -87,7 +91,7 @@
 			w.revision, w.fence = revision, next
 			return nil
 		case errors.As(err, &conflict):
-			return w.resolveConflict(conflict.Find(w.key), next)
+			return w.resolveConflict(conflict, next)
 		case errors.Is(err, port.ErrRefused):
 			// After an attempt without an answer, a refusal is not final, because that attempt may have taken effect.
 			if !inDoubt && clock.SinceBoot()-start > refusedRetryTime {
@@ -109,10 +113,19 @@
 	return ctx.Err()
 }
 
+func (w *writer) conditions() []port.Condition {
+	conditions := []port.Condition{{Key: w.key, Revision: w.revision}}
+	if w.ownerRevision != 0 {
+		conditions = append(conditions, port.Condition{Key: w.ownerKey, Revision: w.ownerRevision})
+	}
+	return conditions
+}
+
 // resolveConflict returns nil if the stored write fence shows that an earlier attempt of the same write was applied.
-// It returns errSuperseded if the fence is another owner's, missing or invalid.
-func (w *writer) resolveConflict(item port.Item, next cluster.WriteFence) error {
-	if item.Revision == 0 {
+// It returns errSuperseded if the owner's record has changed, or if the fence is another owner's, missing or invalid.
+func (w *writer) resolveConflict(conflict *port.ConflictError, next cluster.WriteFence) error {
+	item := conflict.Find(w.key)
+	if item.Revision == 0 || w.ownerRevision != 0 && conflict.Find(w.ownerKey).Revision != w.ownerRevision {
 		return errSuperseded
 	}
 	current, err := job.Decode[cluster.WriteFence](item.Value)
--- a/internal/model/cluster/record.go
+++ b/internal/model/cluster/record.go
@@ -36,10 +36,18 @@
 	Epoch   uint64 `cbor:"epoch"` // increases with each change of owner; also the fencing token of the owner's orders
 }
 
-// WriteFence fences the writes of an owner. Each of them also rewrites this record,
-// on the condition that its revision is still the one of the owner's previous write.
+// WriteFenceKey returns the key of the write fence of a lane of a duty. An owner has a write in flight in each lane.
+func WriteFenceKey(duty string, lane int) string {
+	if lane == 0 {
+		return PrefixWriteFence + duty
+	}
+	return fmt.Sprintf("%s%s/%d", PrefixWriteFence, duty, lane)
+}
+
+// WriteFence fences the writes of a lane of an owner. Each of them also rewrites this record,
+// on the condition that its revision is still the one of the lane's previous write.
 //
-// Writes are thereby applied in order: one that arrives late fails, and so does one of a former owner.
+// Writes of a lane are thereby applied in order: one that arrives late fails, and so does one of a former owner.
 type WriteFence struct {
 	Epoch  uint64 `cbor:"epoch"`
 	Name   string `cbor:"name"`
