--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -62,7 +62,12 @@
 }
 
 func (e executorState) findRun(t job.Task, run uint64) int {
-	return slices.IndexFunc(e.runs, func(r runState) bool { return r.task == t && r.run == run })
+	for i := range e.runs {
+		if r := &e.runs[i]; r.run == run && sameTask(r.task, t) {
+			return i
+		}
+	}
+	return -1
 }
 
 func (e executorState) withRun(r runState) executorState {
--- a/internal/decision/schedule/reconcile.go
+++ b/internal/decision/schedule/reconcile.go
@@ -12,16 +12,25 @@
 // reconcile compares the runs that an executor lists with those in the state and resolves the differences.
 func (t *transition) reconcile(id string, m HeartbeatResult) {
 	e, _ := t.s.executor(id)
-	listed := map[job.Task]port.ActiveRun{}
-	for _, a := range m.Report.Runs {
-		listed[a.Task] = a
-	}
-	for _, r := range slices.Clone(e.runs) {
-		if a, ok := listed[r.task]; ok && a.Run == r.run {
-			e = t.reconcileListed(e, r, a, m)
-		} else {
-			e = t.reconcileMissing(e, r, m)
+	runs := slices.Clone(e.runs) // changed in place, because a report concerns all of them
+	var missing, unstopped []runState
+	for i, r := range runs {
+		a := findActive(m.Report.Runs, r.task, r.run)
+		if a == nil {
+			missing = append(missing, r)
+			continue
 		}
+		runs[i] = t.withReported(r, *a)
+		if r.phase == stopping && !r.stopConfirmed && m.Sent-r.lastOrderAt > stopRetryInterval {
+			unstopped = append(unstopped, r)
+		}
+	}
+	e.runs = runs
+	for _, r := range unstopped {
+		e = t.stopRun(e, e.findRun(r.task, r.run))
+	}
+	for _, r := range missing {
+		e = t.reconcileMissing(e, r, m)
 	}
 	for _, a := range m.Report.Runs {
 		if e.findRun(a.Task, a.Run) < 0 {
@@ -31,11 +40,26 @@
 	t.s = t.s.withExecutor(e)
 }
 
+// findActive returns the report of a run, or nil.
+func findActive(runs []port.ActiveRun, task job.Task, run uint64) *port.ActiveRun {
+	for i := range runs {
+		if a := &runs[i]; a.Run == run && sameTask(a.Task, task) {
+			return a
+		}
+	}
+	return nil
+}
+
+// sameTask compares the numbers first, since tasks of one job often run on one executor.
+func sameTask(a, b job.Task) bool {
+	return a.Index == b.Index && a.Step == b.Step && a.Occurrence == b.Occurrence && a.Job == b.Job
+}
+
 // stopRetryInterval is the time after which an unconfirmed stop order is sent again.
 const stopRetryInterval = 300 * time.Millisecond
 
-// reconcileListed updates a run that the executor lists.
-func (t *transition) reconcileListed(e executorState, r runState, a port.ActiveRun, m HeartbeatResult) executorState {
+// withReported returns a run as its executor lists it.
+func (t *transition) withReported(r runState, a port.ActiveRun) runState {
 	r.percent, r.metric = a.Percent, a.Metric
 	if r.phase == starting {
 		r.phase, r.since, r.lastOrderAt = running, t.s.now, t.s.now
@@ -51,11 +75,7 @@
 			t.updateTask(r.task, func(x taskState) taskState { x.checkpoint = a.Checkpoint; return x })
 		}
 	}
-	e = e.withRun(r)
-	if r.phase == stopping && !r.stopConfirmed && m.Sent-r.lastOrderAt > stopRetryInterval {
-		return t.stopRun(e, e.findRun(r.task, r.run))
-	}
-	return e
+	return r
 }
 
 // reconcileMissing handles a run that the executor does not list. It counts as gone only if the heartbeat was sent
--- a/internal/link/pool/executor_conn.go
+++ b/internal/link/pool/executor_conn.go
@@ -109,9 +109,9 @@
 // handleReply queues the result of a call. A call whose relay was lost is queued for another attempt.
 func (o *poolOwner) handleReply(ctx context.Context, r port.ExecutorReply) {
 	if errors.Is(r.Err, port.ErrRelayLost) {
-		if err := o.lostCalls.Push(ctx, r.Call); err != nil {
+		if err := o.lostCalls.Push(ctx, &r.Call); err != nil {
 			// The ring is full. Its reader may be the caller, so a goroutine waits for room.
-			go func() { _ = o.lostCalls.PushWait(ctx, r.Call) }() // fails only when the owner is stopped
+			go func() { _ = o.lostCalls.PushWait(ctx, &r.Call) }() // fails only when the owner is stopped
 		}
 		return
 	}
--- a/internal/link/pool/link.go
+++ b/internal/link/pool/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -24,7 +25,8 @@
 
 // Settings of the plug-in.
 type Settings struct {
-	MaxLease kernel.Duration `json:"lease"` // longest lease that executors accept
+	MaxLease kernel.Duration `json:"lease"`  // longest lease that executors accept
+	Memory   int64           `json:"memory"` // MB that the process may use, 0 if unknown
 }
 
 // Defaults of the settings.
@@ -37,6 +39,14 @@
 	tickInterval    = 50 * time.Millisecond  // between two ticks of a pool owner
 )
 
+// Garbage collection. An owner replaces parts of its immutable state with each message, so that with the default a fifth
+// of its processor time went to the collection of some 10 MB; other daemons allocate little.
+const (
+	ownerGCPercent     = 300
+	defaultGCPercent   = 100
+	memoryLimitPercent = 60 // of the process's memory, above which the collector works more often than ownerGCPercent asks
+)
+
 func init() {
 	kernel.Register(Name, Defaults, build)
 }
@@ -86,6 +96,9 @@
 		}
 		return nil // a notification is already pending in a full ring
 	})
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(s.Memory << 20 * memoryLimitPercent / 100)
+	}
 	kernel.Provide[port.Owners](h, l)
 	h.OnStop(kernel.PhaseNotReady, l.stop)
 	h.RegisterDump(Name, l.dump)
@@ -201,6 +214,9 @@
 	if current {
 		delete(l.runners, duty)
 	}
+	if len(l.runners) == 0 {
+		debug.SetGCPercent(defaultGCPercent)
+	}
 	l.mutex.Unlock()
 	if !current {
 		return
@@ -233,6 +249,7 @@
 		return
 	}
 	l.runners[duty] = r
+	debug.SetGCPercent(ownerGCPercent)
 	go r.run()
 }
 
--- a/internal/link/pool/pool_owner.go
+++ b/internal/link/pool/pool_owner.go
@@ -40,7 +40,7 @@
 	context        context.Context   // of run
 	cancel         context.CancelFunc
 	done           chan struct{} // closed when run returns
-	lostCalls      *ring.Ring[port.ExecutorCall]
+	lostCalls      *ring.Ring[*port.ExecutorCall]
 	conns          map[string]*executorConn // by executor; used only by run, as are the next three
 	relays         map[string]*relayConn    // by name
 	suspected      map[string]time.Duration // until when a relay is not used, by name
@@ -66,7 +66,7 @@
 		messages:  ring.New[schedule.Message]("pool.messages", messageCapacity, ring.Refuse, l.host.Metrics),
 		advice:    ring.New[schedule.Advise]("pool.advice", adviceCapacity, ring.Refuse, l.host.Metrics),
 		writers:   writers,
-		lostCalls: ring.New[port.ExecutorCall]("pool.lost", lostCapacity, ring.Refuse, l.host.Metrics),
+		lostCalls: ring.New[*port.ExecutorCall]("pool.lost", lostCapacity, ring.Refuse, l.host.Metrics),
 		done:      make(chan struct{}), conns: map[string]*executorConn{}, relays: map[string]*relayConn{}, suspected: map[string]time.Duration{}, replies: map[uint64]*ring.Ring[schedule.Answer]{},
 	}
 	for lane := range o.commits {
@@ -114,7 +114,7 @@
 				o.step(ctx, <-o.messages.Items())
 			}
 		case call := <-o.lostCalls.Items():
-			o.retryLost(ctx, call)
+			o.retryLost(ctx, *call)
 		case <-ticker.C:
 			now := clock.SinceBoot()
 			if o.assignDue || now-lastAssignment > assignInterval {
--- a/internal/link/relay/client.go
+++ b/internal/link/relay/client.go
@@ -36,7 +36,7 @@
 	link    *link
 	address string
 	reply   func(port.ExecutorReply)
-	queue   *ring.Ring[port.ExecutorCall]
+	queue   *ring.Ring[*port.ExecutorCall]
 	cancel  context.CancelFunc
 	failed  chan struct{}
 
@@ -52,7 +52,7 @@
 func (l *link) Connect(ctx context.Context, address string, reply func(port.ExecutorReply)) port.RelayChannel {
 	c := &channel{
 		link: l, address: address, reply: reply, failed: make(chan struct{}), pending: map[uint64]port.ExecutorCall{}, received: clock.SinceBoot(),
-		queue: ring.New[port.ExecutorCall]("relay.calls", callCapacity, ring.Refuse, metrics.NewRegistry()),
+		queue: ring.New[*port.ExecutorCall]("relay.calls", callCapacity, ring.Refuse, metrics.NewRegistry()),
 	}
 	ctx, c.cancel = context.WithCancel(ctx)
 	go c.run(ctx)
@@ -75,7 +75,7 @@
 		c.pending[call.Serial] = call
 	}
 	c.mutex.Unlock()
-	if !ended && c.queue.Push(context.Background(), call) == nil {
+	if !ended && c.queue.Push(context.Background(), &call) == nil {
 		return
 	}
 	if c.take(call.Serial) || ended {
@@ -177,7 +177,7 @@
 					keys[call.Executor.ID] = key
 					f.Opened = append(f.Opened, opened{Key: key, ID: call.Executor.ID, Address: call.Executor.Address})
 				}
-				f.Calls = append(f.Calls, toCall(call.Serial, key, call))
+				f.Calls = append(f.Calls, toCall(call.Serial, key, *call))
 			}
 			if len(f.Calls) == maxBatch || c.queue.Len() == 0 {
 				break
--- a/internal/link/relay/server.go
+++ b/internal/link/relay/server.go
@@ -25,7 +25,7 @@
 	conn     *websocket.Conn
 	dialer   dialer
 	channels map[uint32]*executor.Channel // by key; used only by read
-	replies  *ring.Ring[port.ExecutorReply]
+	replies  *ring.Ring[*port.ExecutorReply]
 }
 
 var errNoDialer = errors.New("no plug-in provides an executor dialer")
@@ -45,7 +45,7 @@
 	conn.SetReadLimit(maxFrameSize)
 	s := &session{
 		link: l, conn: conn, dialer: dialer{executors: l.executors, platform: platform}, channels: map[uint32]*executor.Channel{},
-		replies: ring.New[port.ExecutorReply]("relay.replies", replyCapacity, ring.Block, metrics.NewRegistry()),
+		replies: ring.New[*port.ExecutorReply]("relay.replies", replyCapacity, ring.Block, metrics.NewRegistry()),
 	}
 	ctx, cancel := context.WithCancel(context.Background()) // the connection outlives the HTTP request
 	var group run.Group
@@ -117,7 +117,7 @@
 
 // reply queues a reply. It waits while the owner does not read.
 func (s *session) reply(ctx context.Context, r port.ExecutorReply) {
-	_ = s.replies.PushWait(ctx, r) // fails only when the session ends
+	_ = s.replies.PushWait(ctx, &r) // fails only when the session ends
 }
 
 // write sends the queued replies, those that wait together in one frame.
@@ -127,10 +127,10 @@
 		if err != nil {
 			return err
 		}
-		f := replyFrame{Replies: []reply{toReply(r.Call.Serial, r)}}
+		f := replyFrame{Replies: []reply{toReply(r.Call.Serial, *r)}}
 		for len(f.Replies) < maxBatch && s.replies.Len() > 0 {
 			r := <-s.replies.Items()
-			f.Replies = append(f.Replies, toReply(r.Call.Serial, r))
+			f.Replies = append(f.Replies, toReply(r.Call.Serial, *r))
 		}
 		if err := write(ctx, s.conn, encode(f)); err != nil {
 			return err
--- a/internal/protocol/executor/channel.go
+++ b/internal/protocol/executor/channel.go
@@ -24,11 +24,12 @@
 	heartbeatCapacity = 2
 )
 
-// Channel sends calls to one incarnation of an executor.
+// Channel sends calls to one incarnation of an executor. Its rings hold pointers, because an owner has some hundred rings
+// with room for hundreds of calls.
 type Channel struct {
 	client     port.ExecutorClient
-	orders     *ring.Ring[port.ExecutorCall]
-	heartbeats *ring.Ring[port.ExecutorCall]
+	orders     *ring.Ring[*port.ExecutorCall]
+	heartbeats *ring.Ring[*port.ExecutorCall]
 	reply      func(port.ExecutorReply)
 	context    context.Context // of the duties
 	cancel     context.CancelFunc
@@ -40,8 +41,8 @@
 	// The rings get registries of their own, because the rings of all executors have the same metric names.
 	c := &Channel{
 		client: dialer.Open(e), reply: reply,
-		orders:     ring.New[port.ExecutorCall]("executor.orders", orderCapacity, ring.Refuse, metrics.NewRegistry()),
-		heartbeats: ring.New[port.ExecutorCall]("executor.heartbeats", heartbeatCapacity, ring.Refuse, metrics.NewRegistry()),
+		orders:     ring.New[*port.ExecutorCall]("executor.orders", orderCapacity, ring.Refuse, metrics.NewRegistry()),
+		heartbeats: ring.New[*port.ExecutorCall]("executor.heartbeats", heartbeatCapacity, ring.Refuse, metrics.NewRegistry()),
 	}
 	c.context, c.cancel = context.WithCancel(ctx)
 	c.duties.Go(func() { c.run(c.orders, c.sendOrder) })
@@ -55,7 +56,7 @@
 	if _, ok := call.Order.(port.Heartbeat); ok {
 		queue = c.heartbeats
 	}
-	if err := queue.Push(c.context, call); err != nil {
+	if err := queue.Push(c.context, &call); err != nil {
 		return fmt.Errorf("%w: %w", port.ErrNotConnected, err)
 	}
 	return nil
@@ -68,17 +69,17 @@
 }
 
 // run sends queued calls one at a time.
-func (c *Channel) run(queue *ring.Ring[port.ExecutorCall], send func(port.ExecutorCall) (port.ExecutorReport, error)) {
+func (c *Channel) run(queue *ring.Ring[*port.ExecutorCall], send func(port.ExecutorCall) (port.ExecutorReport, error)) {
 	for {
 		call, err := queue.Pull(c.context)
 		if err != nil {
 			return
 		}
-		report, err := send(call)
+		report, err := send(*call)
 		if c.context.Err() != nil {
 			return
 		}
-		c.reply(port.ExecutorReply{Call: call, Report: report, Err: err})
+		c.reply(port.ExecutorReply{Call: *call, Report: report, Err: err})
 	}
 }
 
