Name in the record of used executors only those that may have runs

Cause: an executor whose instance moves stays in the store's list for 4.5 s.

Change: an executor that stops answering and has no runs leaves the record and is used again only after a commit that names it.

--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -81,11 +81,14 @@
 	return s.usedChanged || s.lastOpenedAt != 0 && s.lastOpenedAt >= s.confirmedAt
 }
 
-// usedRecord returns the write of the record that names all executors which may have runs of this owner. It contains
-// every executor before that is usable, because usable requires a later commit.
+// usedRecord returns the write of the record that names all executors which may have runs. It contains every executor
+// before that is usable, because usable requires a later commit.
 func (s State) usedRecord() port.Write {
 	var used cluster.Used
 	s.eachExecutor(func(e *executorState) {
+		if !e.open && len(e.runs) == 0 && !s.unsettled[e.info.ID] {
+			return
+		}
 		used.Executors = append(used.Executors, cluster.UsedExecutor{ID: e.info.ID, Address: e.info.Address, Instance: e.info.Instance, Born: e.born})
 	})
 	return port.Write{Key: cluster.PrefixUsed + s.Pool, Value: job.Encode(used)}
--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -36,7 +36,6 @@
 
 func (t *transition) addExecutor(x site.Executor) {
 	t.emit(Connect{Executor: x}, note(slog.LevelInfo, "executor.listed", "executor", x.ID, "pool", x.Pool, "instance", x.Instance))
-	t.s.usedChanged = true
 	t.sendHeartbeat(executorState{info: x, listed: true, born: x.Born}, 0, 0, false)
 }
 
@@ -110,6 +109,10 @@
 func (t *transition) handleHeartbeatFailure(e executorState, m HeartbeatResult) {
 	if e.failingSince == 0 {
 		e.failingSince = m.Now
+		if e.open && len(e.runs) == 0 {
+			// It has no runs, so the next owner does not have to know it. It is used again after a commit that names it.
+			e.open, t.s.usedChanged = false, true
+		}
 		t.emit(note(slog.LevelWarn, "executor.silent", "executor", e.info.ID, "error", m.Err, "answered", m.Now-e.clockReadAt))
 		t.sendHeartbeat(e, 0, 0, true) // retries at once on a new connection, since the open one may be dead
 		return
@@ -131,7 +134,7 @@
 	e.failingSince, e.clock, e.clockReadAt = 0, report.Clock, m.Now
 	if !e.open {
 		e.open, e.openedAt = true, m.Now
-		t.s.lastOpenedAt = m.Now
+		t.s.lastOpenedAt, t.s.usedChanged = m.Now, true
 		t.emit(note(slog.LevelInfo, "executor.open", "executor", e.info.ID, "active", len(report.Runs), "ends", len(report.Ended)))
 	}
 	t.s.placementDue = t.s.placementDue || len(report.Ended) > 0
@@ -180,6 +183,7 @@
 	if len(remaining) > 0 {
 		return
 	}
+	t.s.usedChanged = true // without those that did not answer
 	for i := t.s.jobs.Iterator(); !i.Done(); {
 		id, j, _ := i.Next()
 		if j.recovered {
