--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -320,7 +320,7 @@
 // Traffic of playPoison.
 const (
 	poisonShare   = 0.03                  // of the small submissions
-	smallInterval = 25 * time.Millisecond // between two small submissions
+	smallInterval = 20 * time.Millisecond // between two small submissions
 	largeInterval = 1 * time.Second       // between two large submissions
 	trafficLength = 60 * time.Second
 	finishTime    = 14 * time.Second // finish_s
