--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -27,8 +27,12 @@
 	Length  time.Duration // until a task ends as done
 	Lasting bool          // a task works until it is stopped
 	Gang    int           // number of tasks that work only together; 0 for none
+	Slow    bool          // the first task of the step takes tailFactor times as long
 }
 
+// tailFactor is how much longer a task of the tail takes: tail_x of the site file.
+const tailFactor = 7
+
 // spec is what the tasks of a submission do, by step. Clients send it as the submission's spec, which the system passes
 // on unchanged.
 type spec []work
@@ -48,7 +52,11 @@
 	if err != nil || n >= len(s) {
 		return work{}
 	}
-	return s[n]
+	w := s[n]
+	if w.Slow && parts[3] == "0" {
+		w.Length *= tailFactor
+	}
+	return w
 }
 
 // taskRun is a run of a task on a worker.
