Log what tells the owner's stale decisions apart

An owner that the store no longer confirms is logged (pool.unconfirmed, pool.confirmed), and executor.lapsed says since when it was not confirmed. pool.settled names the executors that it did not wait for longer, run.unwanted the run that is known instead. run.repeated is new: a run has ended as done although its task runs again or had ended. Warnings of a pool's decisions are counted by event, and the state dump has the time since the last confirmation.

--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -215,6 +215,10 @@
 		level = slog.LevelDebug // the log line of the job reports it
 	}
 	t.emit(note(level, "run.ended", "task", end.Task.String(), "run", end.Run, "executor", id, "how", end.Outcome.String()))
+	if end.Outcome == job.OutcomeDone && ok && x.run != end.Run && x.phase != waiting {
+		t.emit(note(slog.LevelWarn, "run.repeated", "task", end.Task.String(), "run", end.Run, "executor", id,
+			"phase", int(x.phase), "current", x.run, "on", x.executor))
+	}
 	if !ok || x.phase == done || j.state.Final() {
 		return
 	}
--- a/internal/decision/schedule/reconcile.go
+++ b/internal/decision/schedule/reconcile.go
@@ -118,7 +118,8 @@
 	r.need, r.serving, r.bestEffort, r.latencyTarget = step.Demand(), step.LatencySensitive(), step.BestEffort, step.LatencyTarget
 	e = e.withRun(r)
 	if x.phase != waiting || a.Run < x.run || j.state.Final() || j.outcome.Final() {
-		t.emit(note(slog.LevelInfo, "run.unwanted", "task", a.Task.String(), "run", a.Run, "executor", e.info.ID))
+		t.emit(note(slog.LevelInfo, "run.unwanted", "task", a.Task.String(), "run", a.Run, "executor", e.info.ID,
+			"phase", int(x.phase), "current", x.run, "on", x.executor))
 		return t.stopRun(e, len(e.runs)-1)
 	}
 	t.emit(note(slog.LevelInfo, "run.adopted", "task", a.Task.String(), "run", a.Run, "executor", e.info.ID))
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -33,6 +33,7 @@
 	lastCommitResultAt time.Duration                        // when the last result arrived, plus a backoff if the store refused the commit
 	lastOpenedAt       time.Duration                        // when an executor has last answered this owner for the first time
 	confirmedAt        time.Duration                        // when the last successful commit was sent, at which time this owner still owned the pool
+	unconfirmed        bool                                 // a commit has had no result for unconfirmedAfter
 	usedChanged        bool                                 // the stored record of the used executors is out of date
 	unsettled          map[string]bool                      // executors that may have runs of the former owner and have not answered yet
 	settleDeadline     time.Duration                        // by then the leases of those executors have expired
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"teaselloft/internal/model/job"
@@ -80,9 +82,11 @@
 func (t *transition) handleTick(m Tick) {
 	t.s.now, t.s.unixMilli = m.Now, m.Unix
 	if len(t.s.unsettled) > 0 && t.s.now >= t.s.settleDeadline {
-		t.emit(note(slog.LevelWarn, "pool.settled", "silent", len(t.s.unsettled)))
+		silent := slices.Sorted(maps.Keys(t.s.unsettled))
+		t.emit(note(slog.LevelWarn, "pool.settled", "silent", len(silent), "executors", strings.Join(silent, ",")))
 		t.settle(nil)
 	}
+	t.reportConfirmation()
 	t.s.eachExecutor(t.tickExecutor)
 	t.addDueOccurrences()
 	const sweepEvery = 5 * time.Second // short compared to the retention, which is minutes
@@ -93,10 +97,30 @@
 	t.s.placementDue = true
 }
 
+// unconfirmedAfter is the time without a result of a commit after which the owner is reported as unconfirmed.
+const unconfirmedAfter = time.Second
+
+// reportConfirmation logs when the store stops confirming the ownership of the pool, and when it confirms it again.
+func (t *transition) reportConfirmation() {
+	unconfirmed := slices.ContainsFunc(t.s.inFlight[:], func(p *pendingCommit) bool { return p != nil && t.s.now-p.sent > unconfirmedAfter })
+	if unconfirmed == t.s.unconfirmed {
+		return
+	}
+	t.s.unconfirmed = unconfirmed
+	event := "pool.confirmed"
+	if unconfirmed {
+		event = "pool.unconfirmed"
+	}
+	runs := 0
+	t.s.eachExecutor(func(e *executorState) { runs += len(e.runs) })
+	t.emit(note(slog.LevelWarn, event, "since", t.s.now-t.s.confirmedAt, "executors", t.s.executors.Len(), "runs", runs))
+}
+
 func (t *transition) tickExecutor(x *executorState) {
 	e := *x
 	if e.failingSince != 0 && len(e.runs) > 0 && e.leaseExpired(t.s.now) {
-		t.emit(note(slog.LevelWarn, "executor.lapsed", "executor", e.info.ID, "runs", len(e.runs), "silent", t.s.now-e.failingSince))
+		t.emit(note(slog.LevelWarn, "executor.lapsed", "executor", e.info.ID, "runs", len(e.runs), "silent", t.s.now-e.failingSince,
+			"unconfirmed", t.s.now-t.s.confirmedAt))
 		e = t.requeueAll(e)
 		e.open = false
 		t.s = t.s.withExecutor(e)
--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -16,6 +16,7 @@
 	Ended     int               `json:"ended"`
 	Unstored  int               `json:"unstored"`  // jobs with changes that are not in a commit yet
 	Unsettled int               `json:"unsettled"` // executors that may have runs of the former owner
+	Confirmed time.Duration     `json:"confirmed"` // time since the store has last confirmed the ownership
 	Executors []ExecutorSummary `json:"executors"`
 	Now       time.Duration     `json:"now"`
 	States    map[string]int    `json:"states"`
@@ -41,7 +42,7 @@
 func (s State) Summary() Summary {
 	out := Summary{
 		Epoch: s.Epoch, Config: s.config.Version, Ready: s.ready.Len(), Ended: s.ended.Len(), Open: s.jobs.Len() - s.ended.Len(),
-		Unstored: s.changed.Len(), Unsettled: len(s.unsettled), Now: s.now, States: map[string]int{},
+		Unstored: s.changed.Len(), Unsettled: len(s.unsettled), Confirmed: s.now - s.confirmedAt, Now: s.now, States: map[string]int{},
 	}
 	for i := s.jobs.Iterator(); !i.Done(); {
 		id, _, _ := i.Next()
--- a/internal/link/pool/pool_owner.go
+++ b/internal/link/pool/pool_owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,8 @@
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/port"
 	"teaselloft/internal/model/site"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 // Capacities of a pool owner's rings.
@@ -190,6 +193,9 @@
 		case schedule.StepDown:
 			o.link.stepDown(o, "an executor has seen a higher fencing token", "executor", e.Executor)
 		case schedule.Note:
+			if e.Level >= slog.LevelWarn {
+				metrics.GetOrRegisterCounter("pool.warnings."+e.Event, o.link.host.Metrics).Inc(1)
+			}
 			o.link.log.Log(ctx, e.Level, "schedule", append([]any{"event", e.Event, "pool", o.duty, "epoch", o.epoch}, e.Attrs...)...)
 		default:
 			panic("pool: unhandled schedule effect")
