Show that an owner that is cut off with some executors runs tasks twice

The generated histories of a pool get a split: an owner and some executors are cut off from the store, the next owner and the other executors.

The simulated executors now end a run whose lease expires at the time of the expiry, also when nobody looks at them meanwhile. Before, such a run could end as done after its lease.

--- a/internal/decision/schedule/simulation_test.go
+++ b/internal/decision/schedule/simulation_test.go
@@ -32,8 +32,12 @@
 	owners            []*owner
 	config            *site.Config
 	jobs              map[job.ID]*trackedJob
-	storeRefuses      bool    // the store refuses all writes
-	lossRate          float64 // probability that an order gets no answer
+	storeRefuses      bool            // the store refuses all writes
+	lossRate          float64         // probability that an order gets no answer
+	splitOwner        *owner          // cut off from the store and from the executors outside its side; nil without a split
+	splitExecutors    map[string]bool // executors on the side of splitOwner
+	onHeal            []func()        // calls to the store that got no answer during the split
+	lastStart         map[job.Task]time.Duration
 	acknowledgedTasks map[job.Task]bool
 	failedRuns        map[job.Task]map[uint64]bool
 	starts            int
@@ -67,13 +71,20 @@
 	fence       uint64
 	expires     int64
 	runs        map[job.Task]run
-	ends        []port.EndedRun
+	ends        []ended
 	lastEnd     uint64
 	highestRun  map[job.Task]uint64
 	silentUntil time.Duration // answers no call before
 	unlisted    bool          // its entry in the store has expired, although it runs
 }
 
+// ended is a run that has ended and is not acknowledged.
+type ended struct {
+	port.EndedRun
+	at     time.Duration
+	lapsed bool // the lease of the executor has expired since
+}
+
 type run struct {
 	number uint64
 	endsAt time.Duration
@@ -91,7 +102,7 @@
 func newSimulation(t *rapid.T, executors int) *simulation {
 	sim := &simulation{
 		t: t, now: time.Second, executors: map[string]*executor{}, records: map[string][]byte{}, jobs: map[job.ID]*trackedJob{},
-		acknowledgedTasks: map[job.Task]bool{}, failedRuns: map[job.Task]map[uint64]bool{},
+		acknowledgedTasks: map[job.Task]bool{}, failedRuns: map[job.Task]map[uint64]bool{}, lastStart: map[job.Task]time.Duration{},
 		config: &site.Config{
 			Version: 1, Pools: []site.Pool{{Name: pool}},
 			Queues: []site.Queue{{Name: "q", Pool: pool, Attempts: 3, Stretch: 2, Target: time.Second}},
@@ -151,6 +162,28 @@
 	return all
 }
 
+// split cuts the current owner off from the store and from all executors but some. The next owners reach the others.
+func (sim *simulation) split(executors map[string]bool) {
+	sim.splitOwner, sim.splitExecutors = sim.current(), executors
+	sim.t.Logf("%v split: epoch %d with %v", sim.now, sim.current().state.Epoch, slices.Sorted(maps.Keys(executors)))
+}
+
+// heal ends a split. The store then carries out the calls that got no answer.
+func (sim *simulation) heal() {
+	sim.t.Logf("%v split ends", sim.now)
+	sim.splitOwner, sim.splitExecutors = nil, nil
+	calls := sim.onHeal
+	sim.onHeal = nil
+	for _, call := range calls {
+		call()
+	}
+}
+
+// reaches reports whether an owner can call an executor.
+func (sim *simulation) reaches(o *owner, id string) bool {
+	return sim.splitOwner == nil || (o == sim.splitOwner) == sim.splitExecutors[id]
+}
+
 // takeOver starts a new owner. If keep is set, the former owners go on until a call tells them that they are fenced.
 func (sim *simulation) takeOver(keep bool) {
 	for _, o := range sim.owners {
@@ -198,7 +231,9 @@
 		if !o.alive {
 			return
 		}
-		sim.deliver(o, schedule.ExecutorsListed{Now: sim.now, Executors: sim.listedExecutors()})
+		if o != sim.splitOwner {
+			sim.deliver(o, schedule.ExecutorsListed{Now: sim.now, Executors: sim.listedExecutors()})
+		}
 		sim.deliver(o, schedule.Tick{Now: sim.now, Unix: sim.unix()})
 		sim.tick(o)
 	})
@@ -256,6 +291,11 @@
 	if !o.alive {
 		return
 	}
+	if o == sim.splitOwner {
+		sim.onHeal = append(sim.onHeal, func() { sim.commit(o, c) })
+		sim.after(300*time.Millisecond, func() { sim.deliver(o, schedule.CommitStalled{Now: sim.now, Number: c.Number}) })
+		return
+	}
 	if o.state.Epoch != sim.epoch {
 		o.alive = false // another owner has taken over the write fence
 		return
@@ -302,7 +342,7 @@
 		return
 	}
 	sim.after(time.Millisecond, func() {
-		if !sameIncarnation() || x.silentUntil > sim.now {
+		if !sameIncarnation() || x.silentUntil > sim.now || !sim.reaches(o, id) {
 			reply(600*time.Millisecond, unknownOutcome)
 			return
 		}
@@ -310,8 +350,11 @@
 	})
 }
 
+// clockRate is the speed of the executors' clocks, within the 2% that they may be slow.
+const clockRate = 0.985
+
 func (x *executor) clock(now time.Duration) int64 {
-	return int64(float64((now - x.startedAt).Milliseconds()) * 0.985) // within the 2% that a clock may be slow
+	return int64(float64((now - x.startedAt).Milliseconds()) * clockRate)
 }
 
 // endDueRuns ends the runs that are finished or whose lease has expired.
@@ -319,25 +362,30 @@
 	if !x.up {
 		return
 	}
-	expired := x.clock(sim.now) > x.expires
+	// The lease may have expired before a run would have ended, and long before now.
+	leaseEnd := x.startedAt + time.Duration(float64(x.expires)/clockRate)*time.Millisecond
+	expired := sim.now > leaseEnd
+	for i := range x.ends {
+		x.ends[i].lapsed = x.ends[i].lapsed || expired && x.ends[i].at <= leaseEnd
+	}
 	for _, task := range slices.SortedFunc(maps.Keys(x.runs), func(a, b job.Task) int { return strings.Compare(a.String(), b.String()) }) {
 		r := x.runs[task]
 		switch {
-		case r.endsAt <= sim.now:
-			sim.endRun(x, task, r.how)
+		case r.endsAt <= min(sim.now, leaseEnd):
+			sim.endRun(x, task, r.how, r.endsAt, expired)
 		case expired:
-			sim.endRun(x, task, job.OutcomeLeaseExpired)
+			sim.endRun(x, task, job.OutcomeLeaseExpired, leaseEnd, true)
 		}
 	}
 }
 
-func (sim *simulation) endRun(x *executor, task job.Task, how job.Outcome) {
+func (sim *simulation) endRun(x *executor, task job.Task, how job.Outcome, at time.Duration, lapsed bool) {
 	r := x.runs[task]
 	delete(x.runs, task)
 	x.lastEnd++
 	x.highestRun[task] = max(x.highestRun[task], r.number)
-	x.ends = append(x.ends, port.EndedRun{Number: x.lastEnd, Task: task, Run: r.number, Outcome: how})
-	sim.t.Logf("%v %s ends %v run %d: %v", sim.now, x.info.ID, task, r.number, how)
+	x.ends = append(x.ends, ended{EndedRun: port.EndedRun{Number: x.lastEnd, Task: task, Run: r.number, Outcome: how}, at: at, lapsed: lapsed})
+	sim.t.Logf("%v %s has ended %v run %d at %v: %v", sim.now, x.info.ID, task, r.number, at, how)
 	if how == job.OutcomeDone {
 		sim.jobs[task.Job].done[task] = true
 	}
@@ -361,6 +409,7 @@
 	}
 	sim.t.Logf("%v %s starts %v run %d, fence %d", sim.now, x.info.ID, s.Task, s.Run, s.FencingToken)
 	sim.checkStart(x, s)
+	sim.lastStart[s.Task] = sim.now
 	how := job.OutcomeDone
 	if rapid.IntRange(0, 5).Draw(sim.t, "fails") == 0 {
 		how = job.OutcomeFailed
@@ -422,7 +471,7 @@
 	}
 	x.fence = s.FencingToken
 	if r, ok := x.runs[s.Task]; ok && r.number == s.Run {
-		sim.endRun(x, s.Task, job.OutcomeStopped)
+		sim.endRun(x, s.Task, job.OutcomeStopped, sim.now, false)
 	}
 	x.highestRun[s.Task] = max(x.highestRun[s.Task], s.Run)
 	return nil
@@ -438,7 +487,7 @@
 			sim.deliver(o, schedule.HeartbeatResult{Executor: e.Executor, Sent: sent, Now: sim.now, Report: report, Err: err})
 		})
 	}
-	if x == nil || !x.up || x.silentUntil > sim.now {
+	if x == nil || !x.up || x.silentUntil > sim.now || !sim.reaches(o, e.Executor) {
 		reply(400*time.Millisecond, port.ExecutorReport{}, errSilent)
 		return
 	}
@@ -450,7 +499,12 @@
 	x.fence = e.Heartbeat.FencingToken
 	x.expires = max(x.expires, e.Heartbeat.Expires)
 	sim.acknowledge(x, e.Heartbeat.Ack)
-	sim.answerHeartbeat(x, sim.now+e.Heartbeat.Wait, x.info.Born, func(report port.ExecutorReport, err error) { reply(time.Millisecond, report, err) })
+	sim.answerHeartbeat(x, sim.now+e.Heartbeat.Wait, x.info.Born, func(report port.ExecutorReport, err error) {
+		if !sim.reaches(o, e.Executor) {
+			report, err = port.ExecutorReport{}, errSilent
+		}
+		reply(time.Millisecond, report, err)
+	})
 }
 
 // acknowledge drops the ends that an owner has acknowledged and records them for later checks.
@@ -459,6 +513,9 @@
 		e := x.ends[0]
 		x.ends = x.ends[1:]
 		if e.Outcome == job.OutcomeDone {
+			if again := sim.lastStart[e.Task]; again > e.at && !e.lapsed {
+				sim.t.Fatalf("%v: %v, which ended as done at %v under run %d on %s, has started again at %v", sim.now, e.Task, e.at, e.Run, x.info.ID, again)
+			}
 			sim.acknowledgedTasks[e.Task] = true
 		}
 		if e.Outcome == job.OutcomeFailed {
@@ -481,7 +538,10 @@
 		sim.after(20*time.Millisecond, func() { sim.answerHeartbeat(x, until, born, reply) })
 		return
 	}
-	report := port.ExecutorReport{Clock: x.clock(sim.now), Born: x.info.Born, Ended: slices.Clone(x.ends)}
+	report := port.ExecutorReport{Clock: x.clock(sim.now), Born: x.info.Born}
+	for _, e := range x.ends {
+		report.Ended = append(report.Ended, e.EndedRun)
+	}
 	for task, r := range x.runs {
 		report.Runs = append(report.Runs, port.ActiveRun{Task: task, Run: r.number, Percent: 50})
 	}
--- /dev/null
+++ b/internal/decision/schedule/split_test.go
@@ -0,0 +1,94 @@
+package schedule_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"teaselloft/internal/model/job"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against tasks that run twice because an owner that is cut off together with some executors keeps its runs alive
+// on them, or starts again what the next owner runs elsewhere.
+func TestSplitOwnerRunsNothingTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t, rapid.IntRange(2, 5).Draw(t, "executors"))
+		serial := 0
+		for range rapid.IntRange(1, 8).Draw(t, "jobs") {
+			sim.submit(sim.current(), drawSubmission(t, serial))
+			serial++
+			sim.advance(time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond)
+		}
+		side := map[string]bool{}
+		for id := range len(sim.executors) {
+			if rapid.Bool().Draw(t, "cut") {
+				side[fmt.Sprintf("x%d", id)] = true
+			}
+		}
+		sim.split(side)
+		sim.advance(time.Duration(rapid.IntRange(200, 4000).Draw(t, "takeover")) * time.Millisecond)
+		sim.takeOver(true)
+		for range rapid.IntRange(1, 6).Draw(t, "later") {
+			sim.submit(sim.current(), drawSubmission(t, serial))
+			serial++
+			sim.advance(time.Duration(rapid.IntRange(1, 3500).Draw(t, "wait")) * time.Millisecond)
+		}
+		sim.heal()
+		sim.clearFaults()
+		sim.checkOutcomes()
+	})
+}
+
+// Guards against an owner that can't reach the store, but all of its executors, and gives up its running tasks: the
+// store may be down for a long time.
+func TestRunsOutlastStoreOutage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t, rapid.IntRange(2, 5).Draw(t, "executors"))
+		sim.submit(sim.current(), job.Submission{
+			ID: "0000000000000001", Queue: "q", Spec: "s",
+			Steps: []job.Step{{Count: 3, Need: job.Resources{CPU: 1000}, LongRunning: true}},
+		})
+		sim.advance(2 * time.Second)
+		all := map[string]bool{}
+		for id := range sim.executors {
+			all[id] = true
+		}
+		starts := sim.starts
+		sim.split(all)
+		sim.advance(time.Duration(rapid.IntRange(1, 14000).Draw(t, "outage")) * time.Millisecond)
+		sim.heal()
+		sim.advance(10 * time.Second)
+		if sim.starts != starts {
+			t.Fatalf("%d tasks have started again", sim.starts-starts)
+		}
+	})
+}
+
+// splitWithLongTask starts one long-running task, which runs on x0, and cuts the owner off together with one of the two
+// executors. The next owner takes the pool over and reaches the other one.
+func splitWithLongTask(t *rapid.T, side string) {
+	sim := newSimulation(t, 2)
+	sim.submit(sim.current(), job.Submission{
+		ID: "0000000000000001", Queue: "q", Spec: "s",
+		Steps: []job.Step{{Count: 1, Need: job.Resources{CPU: 3000}, LongRunning: true}},
+	})
+	sim.advance(2 * time.Second)
+	sim.split(map[string]bool{side: true})
+	sim.advance(time.Duration(rapid.IntRange(100, 4000).Draw(t, "takeover")) * time.Millisecond)
+	sim.takeOver(true)
+	sim.advance(time.Duration(rapid.IntRange(0, 15000).Draw(t, "split")) * time.Millisecond)
+	sim.heal()
+	sim.advance(15 * time.Second)
+}
+
+// Guards against an owner that is cut off and extends the leases of its runs for longer than the next owner waits.
+func TestSplitOwnerLetsLeasesExpire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { splitWithLongTask(t, "x0") })
+}
+
+// Guards against an owner that is cut off and starts tasks again which the next owner runs on executors out of its reach.
+func TestSplitOwnerLeavesUnreachableRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { splitWithLongTask(t, "x1") })
+}
