Count a silent executor's runs as lapsed only after a confirmed write

Cause: the owner concluded from its own clock that a lease had expired. That holds only as long as nobody else may extend it. It didn't ask whether it was still the owner.

Change: the runs of a silent executor count as lapsed once a write that was sent after the end of the lease has succeeded. The write is made on the condition that the owner's record is unchanged, so no other owner had taken the pool over until the lease ended. An owner without changes to store makes an empty commit for it. While the store is out of reach, the tasks wait.

--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -75,10 +75,11 @@
 	t.emit(c)
 }
 
-// awaitsConfirmation reports whether an executor can't be used until a write has confirmed the ownership of the pool, or
-// the record of the used executors is out of date. A commit without records of jobs is enough for both.
+// awaitsConfirmation reports whether an executor can't be used, or its runs can't count as lapsed, until a write has
+// confirmed the ownership of the pool, or the record of the used executors is out of date. A commit without records of
+// jobs is enough for each of them.
 func (s State) awaitsConfirmation() bool {
-	return s.usedChanged || s.lastOpenedAt != 0 && s.lastOpenedAt >= s.confirmedAt
+	return s.usedChanged || s.lastOpenedAt != 0 && s.lastOpenedAt >= s.confirmedAt || s.confirmationDue
 }
 
 // usedRecord returns the write of the record that names all executors which may have runs. It contains every executor
--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -93,13 +93,27 @@
 	return e.clock + (now - e.clockReadAt).Milliseconds()
 }
 
-// leaseExpired reports whether the executor must have ended all its runs because their lease has expired.
-func (e executorState) leaseExpired(now time.Duration) bool {
+// leaseEnd returns the time by which the executor must have ended all its runs because their lease has expired, unless
+// another owner has extended it. It returns false if the executor has never answered.
+func (e executorState) leaseEnd() (time.Duration, bool) {
 	if e.clockReadAt == 0 {
-		return false
+		return 0, false
 	}
 	left := time.Duration(float64(e.leaseExpires-e.clock) / minClockRate * float64(time.Millisecond))
-	return now >= e.clockReadAt+left+leaseMargin
+	return e.clockReadAt + left + leaseMargin, true
+}
+
+// awaitsLapse reports whether the executor is silent with runs whose lease has expired.
+func (e executorState) awaitsLapse(now time.Duration) bool {
+	end, ok := e.leaseEnd()
+	return ok && e.failingSince != 0 && len(e.runs) > 0 && now >= end
+}
+
+// lapsed reports whether the runs of a silent executor have ended because their lease has expired. Only a commit that
+// was sent after the expiry proves that no other owner had taken the pool over until then, and extended the lease.
+func (e executorState) lapsed(now, confirmedAt time.Duration) bool {
+	end, _ := e.leaseEnd()
+	return e.awaitsLapse(now) && confirmedAt > end
 }
 
 // usable reports whether this owner may start tasks on the executor.
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -33,6 +33,7 @@
 	lastCommitResultAt time.Duration                        // when the last result arrived, plus a backoff if the store refused the commit
 	lastOpenedAt       time.Duration                        // when an executor has last answered this owner for the first time
 	confirmedAt        time.Duration                        // when the last successful commit was sent, at which time this owner still owned the pool
+	confirmationDue    bool                                 // a silent executor's runs count as lapsed once a commit confirms the ownership
 	unconfirmed        bool                                 // a commit has had no result for unconfirmedAfter
 	usedChanged        bool                                 // the stored record of the used executors is out of date
 	unsettled          map[string]bool                      // executors that may have runs of the former owner and have not answered yet
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -87,6 +87,7 @@
 		t.settle(nil)
 	}
 	t.reportConfirmation()
+	t.s.confirmationDue = false
 	t.s.eachExecutor(t.tickExecutor)
 	t.addDueOccurrences()
 	const sweepEvery = 5 * time.Second // short compared to the retention, which is minutes
@@ -118,13 +119,14 @@
 
 func (t *transition) tickExecutor(x *executorState) {
 	e := *x
-	if e.failingSince != 0 && len(e.runs) > 0 && e.leaseExpired(t.s.now) {
+	if e.lapsed(t.s.now, t.s.confirmedAt) {
 		t.emit(note(slog.LevelWarn, "executor.lapsed", "executor", e.info.ID, "runs", len(e.runs), "silent", t.s.now-e.failingSince,
 			"unconfirmed", t.s.now-t.s.confirmedAt))
 		e = t.requeueAll(e)
 		e.open = false
 		t.s = t.s.withExecutor(e)
 	}
+	t.s.confirmationDue = t.s.confirmationDue || e.awaitsLapse(t.s.now)
 	if !e.listed && len(e.runs) == 0 && (e.failingSince != 0 || !e.open) && !t.s.unsettled[e.info.ID] {
 		t.s.executors = t.s.executors.Delete(e.info.ID)
 		t.s.usedChanged = true
