Extend leases and start tasks only while the ownership of the pool is proved

Cause: an owner that didn't reach the store went on extending leases without end, since it took the cut for an outage of the store, during which nobody can take over. The next owner waited 6.1 s from its takeover, which assumed that the former owner extends nothing after it.

Change: the ownership is proved by a write, for 1.8 s, or by more than half of the executors in the record of used executors that accept its token, for 15 s after the last write. Without a proof an owner extends no lease and starts nothing. The next owner waits until neither proof nor lease of the former one can last: 7.1 s after half of those executors have answered it, or 22.1 s; 7.1 s when the process of the former owner has ended. The record of used executors says which epoch wrote it and whether its writer waited itself. An executor is used once the record that names it is stored; with writes in four lanes another write could confirm it before.

TestRunsOutlastStoreOutage passes as before.

The test of advice runs a cycle after each result of a commit, as an owner does.

--- a/internal/decision/schedule/advice_test.go
+++ b/internal/decision/schedule/advice_test.go
@@ -22,16 +22,17 @@
 		p.now += after
 		effects := p.step(schedule.Tick{Now: p.now, Unix: p.now.Milliseconds()})
 		effects = append(effects, p.step(schedule.RunCycle{Now: p.now})...)
-		for _, e := range effects {
-			if x, ok := e.(schedule.StartRun); ok {
+		for i := 0; i < len(effects); i++ {
+			if x, ok := effects[i].(schedule.StartRun); ok {
 				starts = append(starts, x.Start)
 			}
-			if x, ok := e.(schedule.Advise); ok {
+			if x, ok := effects[i].(schedule.Advise); ok {
 				requested = append(requested, x.Executors)
 			}
-			if x, ok := e.(schedule.Commit); ok {
+			if x, ok := effects[i].(schedule.Commit); ok {
 				p.now += time.Millisecond
-				p.step(schedule.CommitResult{Now: p.now, Number: x.Number})
+				effects = append(effects, p.step(schedule.CommitResult{Now: p.now, Number: x.Number})...)
+				effects = append(effects, p.step(schedule.RunCycle{Now: p.now})...)
 			}
 		}
 		return starts, requested
--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -52,10 +52,12 @@
 
 func (t *transition) commitChanges(lane int, changed []*jobState) {
 	t.s.lastCommit++
-	p := pendingCommit{number: t.s.lastCommit, sent: t.s.now, used: t.s.usedChanged}
+	p := pendingCommit{number: t.s.lastCommit, sent: t.s.now}
 	c := Commit{Lane: lane, Number: p.number}
-	if p.used {
-		c.Writes = append(c.Writes, t.s.usedRecord())
+	if t.s.usedChanged && t.s.recordInFlight() == nil { // commits of different lanes may be applied in any order
+		var record cluster.Used
+		record, p.used = t.s.usedExecutors()
+		c.Writes = append(c.Writes, port.Write{Key: cluster.PrefixUsed + t.s.Pool, Value: job.Encode(record)})
 		t.s.usedChanged = false
 	}
 	for _, x := range changed {
@@ -75,26 +77,13 @@
 	t.emit(c)
 }
 
-// awaitsConfirmation reports whether an executor can't be used, or its runs can't count as lapsed, until a write has
-// confirmed the ownership of the pool, or the record of the used executors is out of date. A commit without records of
-// jobs is enough for each of them.
+// awaitsConfirmation reports whether an executor can't be used until a write has confirmed the ownership of the pool, the
+// record of the used executors is out of date, or the ownership has to be proved. A commit without records of jobs is
+// enough for each of them.
 func (s State) awaitsConfirmation() bool {
 	return s.usedChanged || s.lastOpenedAt != 0 && s.lastOpenedAt >= s.confirmedAt || s.confirmationDue
 }
 
-// usedRecord returns the write of the record that names all executors which may have runs. It contains every executor
-// before that is usable, because usable requires a later commit.
-func (s State) usedRecord() port.Write {
-	var used cluster.Used
-	s.eachExecutor(func(e *executorState) {
-		if !e.open && len(e.runs) == 0 && !s.unsettled[e.info.ID] {
-			return
-		}
-		used.Executors = append(used.Executors, cluster.UsedExecutor{ID: e.info.ID, Address: e.info.Address, Instance: e.info.Instance, Born: e.born})
-	})
-	return port.Write{Key: cluster.PrefixUsed + s.Pool, Value: job.Encode(used)}
-}
-
 // recordChanges returns the writes and deletions that bring the stored records of a job up to date.
 func (s State) recordChanges(j jobState) (writes []port.Write, deletes []string) {
 	id := string(j.sub.ID)
@@ -136,7 +125,7 @@
 	}
 	if errors.Is(m.Err, port.ErrRefused) {
 		t.s.lastCommitResultAt = m.Now + refusedWriteBackoff
-		t.s.usedChanged = t.s.usedChanged || p.used
+		t.s.usedChanged = t.s.usedChanged || p.used != nil
 		for _, x := range p.jobs {
 			t.revert(x)
 		}
@@ -144,6 +133,9 @@
 	}
 	t.s.placementDue = t.s.placementDue || t.s.awaitsConfirmation()
 	t.s.confirmedAt = max(t.s.confirmedAt, p.sent)
+	if p.used != nil {
+		t.s.recorded = p.used
+	}
 	for _, x := range p.jobs {
 		t.markStored(x)
 	}
--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -36,6 +36,7 @@
 	born              int64         // start of the incarnation in Unix milliseconds; 0 if unknown
 	open              bool          // has answered a heartbeat with this owner's fencing token
 	openedAt          time.Duration // first such answer
+	acceptedAt        time.Duration // when the last heartbeat that it has answered was sent
 	failingSince      time.Duration // start of the current series of failed heartbeats; 0 if the last one succeeded
 	clock             int64         // last reading of the executor's clock, in ms
 	clockReadAt       time.Duration // time of that reading, on the owner's clock
@@ -116,13 +117,14 @@
 	return e.awaitsLapse(now) && confirmedAt > end
 }
 
-// usable reports whether this owner may start tasks on the executor.
+// usable reports whether this owner may start tasks on the executor while it owns the pool.
 //
 // An executor that restarts after a takeover has not seen the fencing token of the next owner, so it still
 // accepts the former owner. Only a successful commit that was sent after its first answer proves that no other owner
-// uses it. The last successful commit was sent at confirmedAt.
-func (e executorState) usable(now, confirmedAt time.Duration) bool {
-	if !e.open || confirmedAt <= e.openedAt || !e.listed || e.info.Draining || e.failingSince != 0 || now < e.vacateUntil || now < e.quarantinedUntil {
+// uses it.
+func (s State) usable(e *executorState) bool {
+	if !e.open || s.confirmedAt <= e.openedAt || !s.isRecorded(e) || !e.listed || e.info.Draining || e.failingSince != 0 ||
+		s.now < e.vacateUntil || s.now < e.quarantinedUntil {
 		return false
 	}
 	return !slices.ContainsFunc(e.runs, func(r runState) bool { return r.stray })
--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -71,7 +71,11 @@
 // heartbeatWait returns how long an executor may delay its answer while no run ends. It grows with the number of
 // executors, which limits the rate of calls.
 func (s State) heartbeatWait() time.Duration {
-	return min(max(s.policy.HeartbeatWait, time.Duration(s.executors.Len())*heartbeatWaitPerExecutor), maxHeartbeatWait)
+	wait := min(max(s.policy.HeartbeatWait, time.Duration(s.executors.Len())*heartbeatWaitPerExecutor), maxHeartbeatWait)
+	if s.unconfirmed {
+		return min(wait, outageHeartbeatWait)
+	}
+	return wait
 }
 
 // sendHeartbeat asks an executor for its runs, after a delay, and renews their lease.
@@ -80,7 +84,7 @@
 	if e.failingSince == 0 && e.open {
 		h.Ack = e.ackedEnd // a silent executor may have restarted, and the new incarnation reuses the numbers
 	}
-	if e.clockReadAt != 0 && e.failingSince == 0 {
+	if e.clockReadAt != 0 && e.failingSince == 0 && t.s.now+delay <= t.s.ownedUntil() {
 		h.Expires = e.localTime(t.s.now+delay) + t.s.policy.Lease.Milliseconds()
 		e.leaseExpires = max(e.leaseExpires, h.Expires)
 	}
@@ -131,10 +135,11 @@
 	if e.failingSince != 0 {
 		t.emit(note(slog.LevelInfo, "executor.back", "executor", e.info.ID, "after", m.Now-e.failingSince))
 	}
-	e.failingSince, e.clock, e.clockReadAt = 0, report.Clock, m.Now
+	e.failingSince, e.clock, e.clockReadAt, e.acceptedAt = 0, report.Clock, m.Now, m.Sent
 	if !e.open {
 		e.open, e.openedAt = true, m.Now
 		t.s.lastOpenedAt, t.s.usedChanged = m.Now, true
+		t.s = t.s.withFormerAnswer(e.info.ID)
 		t.emit(note(slog.LevelInfo, "executor.open", "executor", e.info.ID, "active", len(report.Runs), "ends", len(report.Ended)))
 	}
 	t.s.placementDue = t.s.placementDue || len(report.Ended) > 0
@@ -183,7 +188,7 @@
 	if len(remaining) > 0 {
 		return
 	}
-	t.s.usedChanged = true // without those that did not answer
+	t.s.usedChanged, t.s.former = true, formerOwners{} // without those that did not answer
 	for i := t.s.jobs.Iterator(); !i.Done(); {
 		id, j, _ := i.Next()
 		if j.recovered {
--- a/internal/decision/schedule/history_test.go
+++ b/internal/decision/schedule/history_test.go
@@ -28,8 +28,8 @@
 
 // Guards against lost jobs, tasks that run twice, overcommitted executors, wrong outcomes, and starts that violate the
 // step order or follow a cancellation, a refusal or the last attempt. The faults are lost and late orders, silent and
-// restarting executors, executors whose entries
-// have expired although they run, refused writes, and takeovers from owners that are frozen or still running.
+// restarting executors, executors whose entries have expired although they run, refused writes, takeovers from owners
+// that are frozen or still running, and owners that are cut off together with some executors.
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t, rapid.IntRange(2, 4).Draw(t, "executors"))
@@ -45,7 +45,7 @@
 
 func (sim *simulation) randomAction(serial *int) {
 	id := fmt.Sprintf("x%d", rapid.IntRange(0, len(sim.executors)-1).Draw(sim.t, "executor"))
-	switch rapid.IntRange(0, 14).Draw(sim.t, "action") {
+	switch rapid.IntRange(0, 15).Draw(sim.t, "action") {
 	case 0, 1, 2, 3, 4:
 		sim.submit(sim.current(), drawSubmission(sim.t, *serial))
 		*serial++
@@ -77,11 +77,21 @@
 		sim.storeRefuses = rapid.Bool().Draw(sim.t, "refuses")
 	case 14:
 		sim.executors[id].unlisted = rapid.Bool().Draw(sim.t, "unlisted")
+	case 15:
+		if sim.splitOwner != nil {
+			sim.heal()
+			return
+		}
+		sim.split(sim.drawSide())
+		sim.takeOver(true)
 	}
 }
 
 // clearFaults ends all injected faults and waits until every job must have ended.
 func (sim *simulation) clearFaults() {
+	if sim.splitOwner != nil {
+		sim.heal()
+	}
 	sim.lossRate, sim.storeRefuses = 0, false
 	for _, x := range sim.executors {
 		x.silentUntil, x.unlisted = 0, false
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -21,7 +21,7 @@
 func (s State) candidates() []candidate {
 	all := make([]candidate, 0, s.executors.Len())
 	s.eachExecutor(func(e *executorState) {
-		if e.usable(s.now, s.confirmedAt) {
+		if s.usable(e) {
 			all = append(all, candidate{executor: e, free: e.info.Capacity.Minus(e.allocated)})
 		}
 	})
@@ -41,6 +41,10 @@
 	if t.s.ready.Len() == 0 {
 		return
 	}
+	if !t.s.owns() {
+		t.s.placementDue, t.s.confirmationDue = true, true
+		return
+	}
 	candidates := t.s.candidates()
 	if len(candidates) == 0 {
 		return
--- a/internal/decision/schedule/recover.go
+++ b/internal/decision/schedule/recover.go
@@ -24,6 +24,8 @@
 	Listed     []site.Executor // those of the store's list
 	Used       cluster.Used    // executors that the former owner used
 	UsedLost   bool            // whether the record of the used executors can't be decoded
+	// FormerEnded reports whether the process that wrote the record of the used executors does not own the pool any more.
+	FormerEnded bool
 }
 
 // unknownExecutor stands for the executors that an unreadable record may name. It never answers.
@@ -45,7 +47,14 @@
 	if stored.UsedLost {
 		t.s.unsettled[unknownExecutor] = true
 	}
-	t.s.settleDeadline = t.s.now + time.Duration(float64(t.s.policy.Lease)/minClockRate) + time.Second
+	t.s = t.s.recoverFormer(stored)
+	t.s.recorded = usedSet{}
+	for _, u := range stored.Used.Executors {
+		t.s.recorded[u.ID] = 0
+	}
+	if stored.UsedLost {
+		t.s.recorded[unknownExecutor] = 0
+	}
 	recovered := 0
 	for _, x := range stored.Jobs {
 		if x.Record.Submission == nil {
--- a/internal/decision/schedule/simulation_test.go
+++ b/internal/decision/schedule/simulation_test.go
@@ -185,10 +185,12 @@
 }
 
 // takeOver starts a new owner. If keep is set, the former owners go on until a call tells them that they are fenced.
+// Otherwise they have ended, but for the one that is cut off.
 func (sim *simulation) takeOver(keep bool) {
 	for _, o := range sim.owners {
-		o.alive = o.alive && keep
+		o.alive = o.alive && (keep || o == sim.splitOwner)
 	}
+	former := sim.epoch
 	sim.epoch++
 	var stored schedule.Stored
 	stored.Listed = sim.listedExecutors()
@@ -197,6 +199,7 @@
 		if stored.Used, err = job.Decode[cluster.Used](data); err != nil {
 			sim.t.Fatalf("record of the used executors: %v", err)
 		}
+		stored.FormerEnded = !sim.current().alive && stored.Used.Epoch == former
 	}
 	for _, key := range slices.Sorted(maps.Keys(sim.records)) {
 		id, ok := strings.CutPrefix(key, job.PrefixJob+pool+"/")
@@ -217,7 +220,7 @@
 	}
 	o := &owner{alive: true}
 	sim.owners = append(sim.owners, o)
-	s := schedule.New(pool, sim.epoch, schedule.DefaultPolicy(6*time.Second), sim.now, sim.unix())
+	s := schedule.New(pool, sim.epoch, schedule.DefaultPolicy(6*time.Second), sim.now, sim.unix()).WithConfirmation(sim.now)
 	state, effects := schedule.Recover(s, sim.config, stored)
 	o.state = state
 	sim.perform(o, effects)
@@ -552,6 +555,9 @@
 // crash stops an executor, which restarts under the same ID.
 func (sim *simulation) crash(id string) {
 	x := sim.executors[id]
+	if !x.up {
+		return
+	}
 	x.up = false
 	sim.after(1500*time.Millisecond, func() { sim.addExecutor(id) })
 }
--- a/internal/decision/schedule/split_test.go
+++ b/internal/decision/schedule/split_test.go
@@ -21,19 +21,22 @@
 			serial++
 			sim.advance(time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond)
 		}
-		side := map[string]bool{}
-		for id := range len(sim.executors) {
-			if rapid.Bool().Draw(t, "cut") {
-				side[fmt.Sprintf("x%d", id)] = true
-			}
-		}
-		sim.split(side)
+		sim.split(sim.drawSide())
 		sim.advance(time.Duration(rapid.IntRange(200, 4000).Draw(t, "takeover")) * time.Millisecond)
 		sim.takeOver(true)
-		for range rapid.IntRange(1, 6).Draw(t, "later") {
-			sim.submit(sim.current(), drawSubmission(t, serial))
-			serial++
-			sim.advance(time.Duration(rapid.IntRange(1, 3500).Draw(t, "wait")) * time.Millisecond)
+		for range rapid.IntRange(1, 8).Draw(t, "later") {
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				sim.takeOver(rapid.Bool().Draw(t, "keep"))
+			case 1:
+				sim.crash(fmt.Sprintf("x%d", rapid.IntRange(0, len(sim.executors)-1).Draw(t, "crashed")))
+			case 2:
+				sim.addExecutor(fmt.Sprintf("x%d", len(sim.executors)))
+			default:
+				sim.submit(sim.current(), drawSubmission(t, serial))
+				serial++
+			}
+			sim.advance(time.Duration(rapid.IntRange(1, 5000).Draw(t, "wait")) * time.Millisecond)
 		}
 		sim.heal()
 		sim.clearFaults()
@@ -41,6 +44,15 @@
 	})
 }
 
+// drawSide draws the executors on the side of an owner that is cut off.
+func (sim *simulation) drawSide() map[string]bool {
+	side := map[string]bool{}
+	for id := range len(sim.executors) {
+		side[fmt.Sprintf("x%d", id)] = rapid.Bool().Draw(sim.t, "cut")
+	}
+	return side
+}
+
 // Guards against an owner that can't reach the store, but all of its executors, and gives up its running tasks: the
 // store may be down for a long time.
 func TestRunsOutlastStoreOutage(t *testing.T) {
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -33,11 +33,13 @@
 	lastCommitResultAt time.Duration                        // when the last result arrived, plus a backoff if the store refused the commit
 	lastOpenedAt       time.Duration                        // when an executor has last answered this owner for the first time
 	confirmedAt        time.Duration                        // when the last successful commit was sent, at which time this owner still owned the pool
-	confirmationDue    bool                                 // a silent executor's runs count as lapsed once a commit confirms the ownership
+	confirmationDue    bool                                 // a commit has to confirm the ownership
 	unconfirmed        bool                                 // a commit has had no result for unconfirmedAfter
-	usedChanged        bool                                 // the stored record of the used executors is out of date
-	unsettled          map[string]bool                      // executors that may have runs of the former owner and have not answered yet
-	settleDeadline     time.Duration                        // by then the leases of those executors have expired
+	recorded           usedSet                              // the executors in the stored record
+	former             formerOwners
+	usedChanged        bool            // the stored record of the used executors is out of date
+	unsettled          map[string]bool // executors that may have runs of the former owner and have not answered yet
+	settleDeadline     time.Duration   // by then the leases of those executors have expired
 	lastSweep          time.Duration
 	placementDue       bool // whether the next scheduling cycle has to look for tasks to start
 }
@@ -50,8 +52,8 @@
 	number  uint64
 	sent    time.Duration
 	jobs    []pendingJob
-	stalled bool // the store did not answer an attempt; callers no longer wait
-	used    bool // contains the record of the used executors
+	stalled bool    // the store did not answer an attempt; callers no longer wait
+	used    usedSet // the executors in the record that it contains; nil if it contains none
 }
 
 // pendingJob is a job in a pending commit, as it was when the commit was sent.
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -87,7 +87,7 @@
 		t.settle(nil)
 	}
 	t.reportConfirmation()
-	t.s.confirmationDue = false
+	t.s.confirmationDue = t.s.needsConfirmation()
 	t.s.eachExecutor(t.tickExecutor)
 	t.addDueOccurrences()
 	const sweepEvery = 5 * time.Second // short compared to the retention, which is minutes
@@ -126,7 +126,6 @@
 		e.open = false
 		t.s = t.s.withExecutor(e)
 	}
-	t.s.confirmationDue = t.s.confirmationDue || e.awaitsLapse(t.s.now)
 	if !e.listed && len(e.runs) == 0 && (e.failingSince != 0 || !e.open) && !t.s.unsettled[e.info.ID] {
 		t.s.executors = t.s.executors.Delete(e.info.ID)
 		t.s.usedChanged = true
--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -65,7 +65,7 @@
 func (s State) Load() port.Load {
 	load := port.Load{Executors: map[string]port.ExecutorLoad{}}
 	s.eachExecutor(func(e *executorState) {
-		x := port.ExecutorLoad{CPU: e.allocated.CPU, Runs: len(e.runs), Usable: e.usable(s.now, s.confirmedAt)}
+		x := port.ExecutorLoad{CPU: e.allocated.CPU, Runs: len(e.runs), Usable: s.usable(e)}
 		for _, r := range e.runs {
 			if r.longRunning {
 				x.LongRunning++
--- a/internal/link/pool/takeover.go
+++ b/internal/link/pool/takeover.go
@@ -18,10 +18,11 @@
 
 // ownership is the ownership of a duty by this process, under an epoch.
 type ownership struct {
-	duty  string
-	epoch uint64
-	self  cluster.Member
-	store port.Store
+	duty        string
+	epoch       uint64
+	self        cluster.Member
+	store       port.Store
+	confirmedAt time.Duration // when the write of the epoch was sent
 }
 
 // Timeouts of the reads of a takeover. They are short, so that a dead connection fails one attempt and not the whole
@@ -69,6 +70,7 @@
 	for lane := 1; lane < schedule.Lanes; lane++ {
 		c.Writes = append(c.Writes, port.Write{Key: cluster.WriteFenceKey(duty, lane), Value: job.Encode(next)})
 	}
+	sent := clock.SinceBoot()
 	if err := w.applyWithFence(ctx, next, c, l.log, func() {}); err != nil {
 		// The write may still take effect. The record then names this daemon, which claims the duty again.
 		return ownership{}, nil, fmt.Errorf("write epoch %d: %w", epoch, err)
@@ -79,13 +81,14 @@
 		writers[lane] = w
 		writers[lane].key = cluster.WriteFenceKey(duty, lane)
 	}
-	return ownership{duty: duty, epoch: epoch, self: self, store: store}, writers, nil
+	return ownership{duty: duty, epoch: epoch, self: self, store: store, confirmedAt: sent}, writers, nil
 }
 
 // takeOverPool takes a pool over and reads the records of its former owner. The takeover is bounded by takeoverCtx, and
 // the duty runs until ctx ends.
 func (l *link) takeOverPool(takeoverCtx, ctx context.Context, pool string, self cluster.Member, directory port.Directory) (dutyRunner, error) {
-	own, writers, err := l.writeNewEpoch(takeoverCtx, pool, self, directory.Directory().Owners[pool].Epoch)
+	former := directory.Directory().Owners[pool]
+	own, writers, err := l.writeNewEpoch(takeoverCtx, pool, self, former.Epoch)
 	if err != nil {
 		return nil, err
 	}
@@ -116,7 +119,8 @@
 	now := clock.SinceBoot()
 	d := directory.Directory()
 	stored.Listed = d.PoolExecutors(pool)
-	s := schedule.New(pool, own.epoch, schedule.DefaultPolicy(l.settings.MaxLease.Value()), now, time.Now().UnixMilli())
+	stored.FormerEnded = stored.Used.Epoch == former.Epoch && (former.Name == self.Name || d.HasRestarted(former))
+	s := schedule.New(pool, own.epoch, schedule.DefaultPolicy(l.settings.MaxLease.Value()), now, time.Now().UnixMilli()).WithConfirmation(own.confirmedAt)
 	state, effects := schedule.Recover(s, d.Config, stored)
 	o := newPoolOwner(ctx, l, own, writers, state, effects)
 	o.release = followed.Unfollow
--- a/internal/model/cluster/directory.go
+++ b/internal/model/cluster/directory.go
@@ -135,6 +135,13 @@
 	return o, ok && m.Start == o.Start
 }
 
+// HasRestarted reports whether the daemon that an owner's record names has started again since, so that the process which
+// wrote the record has ended.
+func (d Directory) HasRestarted(o Owner) bool {
+	m, ok := d.Members[o.Name]
+	return ok && m.Start > o.Start
+}
+
 // PoolExecutors returns the listed executors of a pool.
 func (d Directory) PoolExecutors(pool string) []site.Executor {
 	var listed []site.Executor
