Delay the repetition of a failed takeover

Operators saw "takeover of duty failed" (duty.refused) for one pool every 7 ms on a daemon that had been cut off from the store for 11 s. Each attempt reads the write fence from the store, whose 2,000 reads a second all daemons share.

Cause: the end of a takeover wakes the loop of the claims, and claim.Decide returned a duty whose takeover had failed again at once, since neither kept anything about the failure. A directory that lags makes every attempt fail until it has caught up.

Fix: claim.Orphans holds the failed takeovers of each duty. The next attempt waits up to 100 ms, up to twice as long after each further failure, and up to 2 s at most; between half and all of that, by a hash of duty and daemon, so that refused daemons do not return together. The delay ends when the directory shows another record than the one from which the attempt started. A record of this daemon counts only if the attempt was refused before it wrote, because otherwise each failure after the write of an epoch would cause the next attempt at once. The first attempt is not delayed. A success or another live owner resets the count; the end of an outage does not, because the answer of any watch ends it while other calls still fail. The delay of candidate n is n times that of the first, so that the attempts of all daemons grow with the logarithm of their number while the store refuses all of them.

--- a/internal/link/pool/link.go
+++ b/internal/link/pool/link.go
@@ -56,7 +56,7 @@
 	log               *slog.Logger
 	settings          Settings
 	directoryUpdates  *ring.Ring[struct{}]
-	finishedTakeovers *ring.Ring[string] // duties whose takeover has succeeded or failed
+	finishedTakeovers *ring.Ring[finishedTakeover]
 	meters            meters
 
 	mutex    sync.Mutex
@@ -64,6 +64,13 @@
 	stopping bool
 }
 
+// finishedTakeover is a takeover that has succeeded or failed.
+type finishedTakeover struct {
+	duty  string
+	known cluster.Owner // record from which the takeover started
+	err   error
+}
+
 type meters struct {
 	takeover, commit, order, heartbeat metrics.Histogram
 	superseded, refusedOrders          metrics.Counter
@@ -80,7 +87,7 @@
 	l := &link{
 		host: h, log: h.Log.With("plugin", Name), settings: s, runners: map[string]dutyRunner{},
 		directoryUpdates:  ring.New[struct{}]("pool.changed", 1, ring.Refuse, h.Metrics),
-		finishedTakeovers: ring.New[string]("pool.taken", 64, ring.Block, h.Metrics),
+		finishedTakeovers: ring.New[finishedTakeover]("pool.taken", 64, ring.Block, h.Metrics),
 		meters: meters{
 			takeover: histogram(h.Metrics, "pool.takeover.ms"), commit: histogram(h.Metrics, "pool.commit.ms"),
 			order: histogram(h.Metrics, "pool.order.ms"), heartbeat: histogram(h.Metrics, "pool.hold.ms"),
@@ -143,8 +150,13 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case duty := <-l.finishedTakeovers.Items():
-			delete(claiming, duty)
+		case t := <-l.finishedTakeovers.Items():
+			delete(claiming, t.duty)
+			if t.err == nil {
+				orphans = orphans.WithSuccess(t.duty)
+			} else {
+				orphans = orphans.WithFailure(claim.Failure{Duty: t.duty, Known: t.known, Stale: errors.Is(t.err, errStaleDirectory)}, clock.SinceBoot())
+			}
 		case <-l.directoryUpdates.Items():
 		case <-ticker.C:
 		}
@@ -158,17 +170,21 @@
 			memberSince = clock.SinceBoot()
 		}
 		outageStart, outageEnd := directory.Outage()
+		d := directory.Directory()
 		var claims []string
 		orphans, claims = claim.Decide(orphans, claim.Input{
 			Now: clock.SinceBoot(), Self: self, MemberSince: memberSince, StoreLost: outageStart != 0, StoreBackAt: outageEnd,
-			Held: l.heldDuties(claiming), Directory: directory.Directory(),
+			Held: l.heldDuties(claiming), Directory: d,
 		})
 		for _, duty := range claims {
 			if claiming[duty] || l.owns(duty) {
 				continue
 			}
 			claiming[duty] = true
-			go l.takeOver(ctx, duty, self, directory)
+			go func() {
+				err := l.takeOver(ctx, duty, self, directory)
+				_ = l.finishedTakeovers.PushWait(ctx, finishedTakeover{duty: duty, known: d.Owners[duty], err: err}) // fails only when the process stops
+			}()
 		}
 	}
 }
@@ -227,8 +243,7 @@
 }
 
 // takeOver takes a duty over and starts it.
-func (l *link) takeOver(ctx context.Context, duty string, self cluster.Member, directory port.Directory) {
-	defer func() { _ = l.finishedTakeovers.PushWait(ctx, duty) }() // fails only when the process stops
+func (l *link) takeOver(ctx context.Context, duty string, self cluster.Member, directory port.Directory) error {
 	callCtx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
 	start := clock.SinceBoot()
@@ -239,18 +254,19 @@
 	r, err := takeOver(callCtx, ctx, duty, self, directory)
 	if err != nil {
 		l.log.Info("takeover of duty failed", "event", "duty.refused", "duty", duty, "after", clock.SinceBoot()-start, "error", err)
-		return
+		return err
 	}
 	l.meters.takeover.Update((clock.SinceBoot() - start).Milliseconds())
 	l.log.Info("duty taken over", "event", "duty.taken", "duty", duty, "epoch", r.owned().epoch, "after", clock.SinceBoot()-start)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.stopping {
-		return
+		return nil
 	}
 	l.runners[duty] = r
 	debug.SetGCPercent(ownerGCPercent)
 	go r.run()
+	return nil
 }
 
 // stop ends every duty and waits for it, so that the next owners find no write of this process in flight.
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -25,6 +25,7 @@
 	loseCount  int           // number of answers to changes still to be lost
 	losePrefix string        // lose only answers to changes that write a key with this prefix
 	writes     int
+	reads      map[string]int // calls that read a single item, by key
 }
 
 type item struct {
@@ -43,7 +44,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{})}
+	return &Store{revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), reads: map[string]int{}}
 }
 
 // Put writes an item without a condition, as operators and executors do.
@@ -122,6 +123,13 @@
 	return s.writes
 }
 
+// Reads returns the number of calls that have read the item of a key alone.
+func (s *Store) Reads(key string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reads[key]
+}
+
 func (s *Store) set(key string, value []byte, id int64) {
 	i := item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: id}
 	if before, ok := s.items[key]; ok {
@@ -173,8 +181,10 @@
 }
 
 func (s *Store) key(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("key")
 	s.mutex.Lock()
-	i, ok := s.items[r.URL.Query().Get("key")]
+	s.reads[key]++
+	i, ok := s.items[key]
 	s.mutex.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
