Delay the repetition of a takeover that does not last

Found while looking for calls that are repeated without a pause; no operator has reported it. A daemon that steps down right after a takeover (an executor has seen a higher fencing token, or a decision panics on a message) finds a record with its own name for a duty that it does not hold, and claimed the duty again at once. Each round writes an epoch and reads all jobs and executors of the pool, from a budget of several hundred writes a second for all daemons.

Cause: a successful takeover reset the count of failures, however soon the daemon stepped down.

Fix: claim.Orphans counts every takeover that has ended, and forgets them once the daemon has held the duty for 2 s (claim.MinTenure), the longest delay between two attempts. WithAttempt replaces WithFailure and WithSuccess. A daemon whose executors have seen a token that is higher by a few epochs now needs seconds instead of milliseconds to reach it.

--- a/internal/decision/claim/claim.go
+++ b/internal/decision/claim/claim.go
@@ -22,51 +22,48 @@
 	CandidateDelay = 700 * time.Millisecond
 )
 
-// Delays before a failed takeover is repeated by the first candidate. Each failure in a row doubles the delay.
+// Delays before the first candidate repeats a takeover that failed or did not last. Each such takeover in a row doubles
+// the delay.
 const (
 	// MinRetryDelay is short, because callers get 503 while a pool has no owner.
 	MinRetryDelay = 100 * time.Millisecond
 	// MaxRetryDelay keeps a daemon whose claims of 96 duties are all refused at fewer than 100 reads of the store a
 	// second, 5% of what the store serves to all daemons.
 	MaxRetryDelay = 2 * time.Second
+	// MinTenure is the time for which this daemon must hold a duty before its takeover counts as lasting. It equals the
+	// longest delay, so that an owner that steps down sooner does not return more often than one whose takeovers fail.
+	MinTenure = MaxRetryDelay
 )
 
 // Orphans holds the duties without a live owner and the time at which each was first seen without one, and this
-// daemon's failed takeovers. It is immutable.
+// daemon's takeovers that failed or have not lasted so far. It is immutable.
 type Orphans struct {
 	since    map[string]time.Duration
-	failures map[string]failures // by duty
+	attempts map[string]attempts // by duty
 }
 
-// Failure describes a takeover that failed.
-type Failure struct {
+// Attempt describes a takeover that has ended.
+type Attempt struct {
 	Duty  string
 	Known cluster.Owner // record in the directory from which the takeover started, zero if there was none
-	Stale bool          // the store had a newer epoch than Known; the takeover wrote nothing
+	Stale bool          // it failed before it wrote anything, because the store had a newer epoch than Known
 }
 
-// failures describes the failed takeovers of a duty since the last success.
-type failures struct {
-	last  Failure
-	at    time.Duration // of the last one
+// attempts describes the takeovers of a duty since the last one that lasted.
+type attempts struct {
+	last  Attempt
+	at    time.Duration // end of the last one
 	count int
 }
 
-// WithFailure returns a copy that records a failed takeover.
-func (o Orphans) WithFailure(f Failure, now time.Duration) Orphans {
-	count := o.failures[f.Duty].count + 1
-	o.failures = maps.Clone(o.failures)
-	if o.failures == nil {
-		o.failures = map[string]failures{}
+// WithAttempt returns a copy that records a takeover that has ended.
+func (o Orphans) WithAttempt(a Attempt, now time.Duration) Orphans {
+	count := o.attempts[a.Duty].count + 1
+	o.attempts = maps.Clone(o.attempts)
+	if o.attempts == nil {
+		o.attempts = map[string]attempts{}
 	}
-	o.failures[f.Duty] = failures{last: f, at: now, count: count}
-	return o
-}
-
-// WithSuccess returns a copy that records a successful takeover.
-func (o Orphans) WithSuccess(duty string) Orphans {
-	o.failures = maps.Clone(o.failures)
-	delete(o.failures, duty)
+	o.attempts[a.Duty] = attempts{last: a, at: now, count: count}
 	return o
 }
 
@@ -78,6 +75,7 @@
 	StoreLost   bool
 	StoreBackAt time.Duration   // end of the last store outage, 0 if there was none
 	Held        map[string]bool // duties that this daemon owns or is taking over
+	TakingOver  map[string]bool // those of them that it is taking over
 	Directory   cluster.Directory
 }
 
@@ -98,20 +96,21 @@
 
 // Decide returns the duties that this daemon claims now. These are the orphaned duties for which its delay as a
 // candidate has passed, and the duties whose record names it although it does not hold them, which happens when the
-// answer to its write was lost. A duty whose takeover failed is claimed again after a delay.
+// answer to its write was lost. A duty whose takeover failed or did not last is
+// claimed again after a delay.
 func Decide(o Orphans, in Input) (Orphans, []string) {
 	orphans := map[string]time.Duration{}
 	if !in.Directory.Listed || in.StoreLost || in.Now-in.MemberSince < StartupDelay {
-		return Orphans{since: orphans, failures: o.failures}, nil
+		return Orphans{since: orphans, attempts: o.attempts}, nil
 	}
 	load := map[string]int{}
-	failed := o.relevantFailures(in.Self, in.Directory)
+	tried := o.relevantAttempts(in)
 	var orphaned, unheld []string
 	for _, duty := range Duties(in.Directory) {
 		owner, ok := in.Directory.LiveOwner(duty)
 		if ok && !in.Directory.Members[owner.Name].Leaving {
 			load[owner.Name]++
-			if owner.Name == in.Self.Name && !in.Held[duty] && !failed[duty].delays(in, 0) {
+			if owner.Name == in.Self.Name && !in.Held[duty] && !tried[duty].delay(in, 0) {
 				unheld = append(unheld, duty)
 			}
 			continue
@@ -134,52 +133,54 @@
 		if in.StoreBackAt != 0 {
 			from = max(from, in.StoreBackAt+RejoinDelay)
 		}
-		if position >= 0 && in.Now >= from+time.Duration(position)*CandidateDelay && !failed[duty].delays(in, position) {
+		if position >= 0 && in.Now >= from+time.Duration(position)*CandidateDelay && !tried[duty].delay(in, position) {
 			claims = append(claims, duty)
 		}
 	}
-	return Orphans{since: orphans, failures: failed}, claims
+	return Orphans{since: orphans, attempts: tried}, claims
 }
 
-// relevantFailures returns the failed takeovers without those of duties that another daemon owns or that no longer exist.
-func (o Orphans) relevantFailures(self cluster.Member, d cluster.Directory) map[string]failures {
-	relevant := maps.Clone(o.failures)
-	duties := Duties(d)
-	maps.DeleteFunc(relevant, func(duty string, _ failures) bool {
-		owner, ok := d.LiveOwner(duty)
-		owned := ok && owner.Name != self.Name && !d.Members[owner.Name].Leaving
-		return owned || !slices.Contains(duties, duty)
+// relevantAttempts returns the takeovers without those that have lasted and those of duties that another daemon owns or
+// that no longer exist.
+func (o Orphans) relevantAttempts(in Input) map[string]attempts {
+	relevant := maps.Clone(o.attempts)
+	duties := Duties(in.Directory)
+	maps.DeleteFunc(relevant, func(duty string, a attempts) bool {
+		owner, ok := in.Directory.LiveOwner(duty)
+		owned := ok && owner.Name != in.Self.Name && !in.Directory.Members[owner.Name].Leaving
+		lasted := in.Held[duty] && !in.TakingOver[duty] && in.Now >= a.at+MinTenure
+		return owned || lasted || !slices.Contains(duties, duty)
 	})
 	return relevant
 }
 
-// delays reports whether the failed takeovers of a duty delay the next one. Later candidates wait longer, so that the
-// attempts of all daemons grow with the logarithm of their number while the store refuses all of them.
-func (f failures) delays(in Input, position int) bool {
-	if f.count == 0 || f.outdated(in) {
+// delay reports whether the takeovers of a duty delay the next one. Later candidates wait longer, so that the attempts of
+// all daemons grow with the logarithm of their number while the store refuses all of them.
+func (a attempts) delay(in Input, position int) bool {
+	if a.count == 0 || a.outdated(in) {
 		return false
 	}
-	return in.Now < f.at+time.Duration(position+1)*f.delay(in.Self.Name)
+	return in.Now < a.at+time.Duration(position+1)*a.retryDelay(in.Self.Name)
 }
 
 // outdated reports whether the directory has changed in a way that may let the next takeover succeed: it shows another
 // record than the one from which the last takeover started. A record that this takeover may have written itself does
 // not count, because each failure after that write would cause the next attempt at once.
-func (f failures) outdated(in Input) bool {
-	current := in.Directory.Owners[f.last.Duty]
+func (a attempts) outdated(in Input) bool {
+	current := in.Directory.Owners[a.last.Duty]
 	own := current.Name == in.Self.Name && current.Start == in.Self.Start
-	return current != f.last.Known && (f.last.Stale || !own)
+	return current != a.last.Known && (a.last.Stale || !own)
 }
 
-// delay returns the delay after the last failure. It is between half and all of the doubled delay, different for each
-// duty and daemon, so that daemons that the store has refused at the same time do not return at the same time.
-func (f failures) delay(name string) time.Duration {
+// retryDelay returns the delay after the last takeover. It is between half and all of the doubled delay, different for
+// each duty and daemon, so that daemons that the store has refused at the same time do not return at the same time.
+func (a attempts) retryDelay(name string) time.Duration {
 	longest := MinRetryDelay
-	for n := 1; n < f.count && longest < MaxRetryDelay; n++ {
+	for n := 1; n < a.count && longest < MaxRetryDelay; n++ {
 		longest = min(2*longest, MaxRetryDelay)
 	}
 	half := longest / 2
-	return half + time.Duration(tieBreak(f.last.Duty, name+"\x00"+strconv.Itoa(f.count))%uint64(half))
+	return half + time.Duration(tieBreak(a.last.Duty, name+"\x00"+strconv.Itoa(a.count))%uint64(half))
 }
 
 // candidates returns the members that may claim a duty, ordered by descending power per duty. The claimed duty counts
--- a/internal/decision/claim/retry_test.go
+++ b/internal/decision/claim/retry_test.go
@@ -35,7 +35,7 @@
 }
 
 // Guards against a takeover that is repeated without a pause while it is refused, and against one that is given up or
-// delayed for longer than it must: the first attempt, and the next one after a success.
+// delayed for longer than it must: the first attempt, and the next one after a success that has lasted.
 func TestFailedTakeoverIsRepeatedWithGrowingDelay(t *testing.T) {
 	orphaned, unheld, leaving := soleMember(), soleMember(), soleMember()
 	unheld.Directory = unheld.Directory.WithOwner(cluster.Owner{Duty: "a", Name: "m1", Start: 1, Epoch: 1})
@@ -47,26 +47,46 @@
 				c := qt.New(t)
 				waited, o, in := claimedAfter(c, claim.Orphans{}, in)
 				c.Assert(waited, qt.Equals, time.Duration(0))
-				failure := claim.Failure{Duty: "a", Known: in.Directory.Owners["a"], Stale: stale}
+				failure := claim.Attempt{Duty: "a", Known: in.Directory.Owners["a"], Stale: stale}
 				longest := claim.MinRetryDelay
 				for range 8 {
-					o = o.WithFailure(failure, in.Now)
+					o = o.WithAttempt(failure, in.Now)
 					waited, o, in = claimedAfter(c, o, in)
 					c.Check(waited >= longest/2 && waited <= longest, qt.IsTrue, qt.Commentf("%v instead of %v to %v", waited, longest/2, longest))
 					longest = min(2*longest, claim.MaxRetryDelay)
 					takingOver := in
-					takingOver.Held = map[string]bool{cluster.FleetDuty: true, "a": true}
+					takingOver.Held, takingOver.TakingOver = map[string]bool{cluster.FleetDuty: true, "a": true}, map[string]bool{"a": true}
 					o, _ = claim.Decide(o, takingOver) // must not forget the failures
 				}
-				waited, _, _ = claimedAfter(c, o.WithSuccess("a"), in)
+				held := in
+				held.Held = map[string]bool{cluster.FleetDuty: true, "a": true}
+				held.Directory = held.Directory.WithOwner(cluster.Owner{Duty: "a", Name: "m1", Start: 1, Epoch: 2})
+				held.Now += claim.MinTenure
+				o, _ = claim.Decide(o.WithAttempt(failure, in.Now), held)
+				held.Held = in.Held
+				waited, o, in = claimedAfter(c, o, held)
 				c.Check(waited, qt.Equals, time.Duration(0))
-				waited, _, _ = claimedAfter(c, o.WithSuccess("a").WithFailure(failure, in.Now), in)
+				waited, _, _ = claimedAfter(c, o.WithAttempt(failure, in.Now), in)
 				c.Check(waited <= claim.MinRetryDelay, qt.IsTrue, qt.Commentf("%v", waited))
 			})
 		}
 	}
 }
 
+// Guards against later candidates whose attempts add up while the store refuses all daemons.
+func TestLaterCandidateWaitsLonger(t *testing.T) {
+	c := qt.New(t)
+	in := soleMember()
+	in.Directory = in.Directory.WithMember(cluster.Member{Name: "m2", Start: 1, Power: 800}) // the first candidate
+	_, o, in := claimedAfter(c, claim.Orphans{}, in)
+	for n := range 8 {
+		var waited time.Duration
+		waited, o, in = claimedAfter(c, o.WithAttempt(claim.Attempt{Duty: "a"}, in.Now), in)
+		longest := 2 * min(claim.MinRetryDelay<<n, claim.MaxRetryDelay)
+		c.Check(waited >= longest/2 && waited <= longest, qt.IsTrue, qt.Commentf("%v instead of %v to %v", waited, longest/2, longest))
+	}
+}
+
 // Guards against a legitimate takeover that waits although its directory has caught up with the store, against attempts
 // without a pause by a daemon whose takeovers fail after they have written a record, and against attempts without a pause
 // while the connection to the store breaks again and again.
@@ -91,7 +111,7 @@
 		o, _ := claim.Decide(claim.Orphans{}, before)
 		in := before
 		for range 5 {
-			o = o.WithFailure(claim.Failure{Duty: "a", Known: before.Directory.Owners["a"], Stale: test.stale}, in.Now)
+			o = o.WithAttempt(claim.Attempt{Duty: "a", Known: before.Directory.Owners["a"], Stale: test.stale}, in.Now)
 		}
 		lost := in
 		lost.StoreLost = true
@@ -108,7 +128,7 @@
 	in := soleMember()
 	o := claim.Orphans{}
 	for range 5 {
-		o = o.WithFailure(claim.Failure{Duty: "a"}, in.Now)
+		o = o.WithAttempt(claim.Attempt{Duty: "a"}, in.Now)
 	}
 	owned := in
 	owned.Directory = in.Directory.WithMember(cluster.Member{Name: "m2", Start: 1}).WithOwner(cluster.Owner{Duty: "a", Name: "m2", Start: 1, Epoch: 1})
@@ -117,7 +137,7 @@
 	owned.Directory = owned.Directory.WithoutMember("m2")
 	waited, o, in := claimedAfter(c, o, owned)
 	c.Assert(waited, qt.Equals, time.Duration(0))
-	waited, _, _ = claimedAfter(c, o.WithFailure(claim.Failure{Duty: "a", Known: in.Directory.Owners["a"]}, in.Now), in)
+	waited, _, _ = claimedAfter(c, o.WithAttempt(claim.Attempt{Duty: "a", Known: in.Directory.Owners["a"]}, in.Now), in)
 	c.Assert(waited <= claim.MinRetryDelay, qt.IsTrue, qt.Commentf("%v", waited))
 }
 
@@ -137,7 +157,7 @@
 				WithOwner(cluster.Owner{Duty: cluster.FleetDuty, Name: x.member, Start: 1, Epoch: 1})
 			o := claim.Orphans{}
 			for range failures {
-				o = o.WithFailure(claim.Failure{Duty: x.duty}, in.Now)
+				o = o.WithAttempt(claim.Attempt{Duty: x.duty}, in.Now)
 			}
 			waited, _, _ := claimedAfter(c, o, in)
 			x.delays[waited] = true
@@ -177,7 +197,7 @@
 			at := now + time.Duration(i)*interval/daemons
 			o, duties := claim.Decide(states[i], claim.Input{Now: at, Self: m, MemberSince: time.Second, Directory: d})
 			for _, duty := range duties {
-				o = o.WithFailure(claim.Failure{Duty: duty}, at)
+				o = o.WithAttempt(claim.Attempt{Duty: duty}, at)
 			}
 			states[i] = o
 			reads += len(duties)
@@ -192,3 +212,28 @@
 	c.Check(perSecond >= pools/3, qt.IsTrue, qt.Commentf("%d reads a second", perSecond)) // each duty is tried at least every 3 s
 	c.Logf("%d reads a second", perSecond)
 }
+
+// Guards against a daemon that takes a duty over without a pause while it must step down each time, and against a delay
+// that ends because a later takeover takes long.
+func TestDelayGrowsWhileTakeoversDoNotLast(t *testing.T) {
+	c := qt.New(t)
+	in := soleMember()
+	o := claim.Orphans{}
+	longest := claim.MinRetryDelay
+	for epoch := range uint64(8) {
+		o = o.WithAttempt(claim.Attempt{Duty: "a", Known: in.Directory.Owners["a"]}, in.Now)
+		in.Directory = in.Directory.WithOwner(cluster.Owner{Duty: "a", Name: "m1", Start: 1, Epoch: epoch + 1})
+		held := in
+		held.Held = map[string]bool{cluster.FleetDuty: true, "a": true}
+		held.Now += claim.MinRetryDelay / 4
+		o, _ = claim.Decide(o, held)
+		var waited time.Duration
+		waited, o, in = claimedAfter(c, o, in)
+		c.Check(waited >= longest/2 && waited <= longest, qt.IsTrue, qt.Commentf("%v instead of %v to %v", waited, longest/2, longest))
+		longest = min(2*longest, claim.MaxRetryDelay)
+		takingOver := in
+		takingOver.Held, takingOver.TakingOver = map[string]bool{cluster.FleetDuty: true, "a": true}, map[string]bool{"a": true}
+		takingOver.Now += claim.MinTenure
+		o, _ = claim.Decide(o, takingOver)
+	}
+}
--- a/internal/link/pool/link.go
+++ b/internal/link/pool/link.go
@@ -56,7 +56,7 @@
 	log               *slog.Logger
 	settings          Settings
 	directoryUpdates  *ring.Ring[struct{}]
-	finishedTakeovers *ring.Ring[finishedTakeover]
+	finishedTakeovers *ring.Ring[claim.Attempt] // those that have succeeded or failed
 	meters            meters
 
 	mutex    sync.Mutex
@@ -64,13 +64,6 @@
 	stopping bool
 }
 
-// finishedTakeover is a takeover that has succeeded or failed.
-type finishedTakeover struct {
-	duty  string
-	known cluster.Owner // record from which the takeover started
-	err   error
-}
-
 type meters struct {
 	takeover, commit, order, heartbeat metrics.Histogram
 	superseded, refusedOrders          metrics.Counter
@@ -87,7 +80,7 @@
 	l := &link{
 		host: h, log: h.Log.With("plugin", Name), settings: s, runners: map[string]dutyRunner{},
 		directoryUpdates:  ring.New[struct{}]("pool.changed", 1, ring.Refuse, h.Metrics),
-		finishedTakeovers: ring.New[finishedTakeover]("pool.taken", 64, ring.Block, h.Metrics),
+		finishedTakeovers: ring.New[claim.Attempt]("pool.taken", 64, ring.Block, h.Metrics),
 		meters: meters{
 			takeover: histogram(h.Metrics, "pool.takeover.ms"), commit: histogram(h.Metrics, "pool.commit.ms"),
 			order: histogram(h.Metrics, "pool.order.ms"), heartbeat: histogram(h.Metrics, "pool.hold.ms"),
@@ -150,13 +143,9 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case t := <-l.finishedTakeovers.Items():
-			delete(claiming, t.duty)
-			if t.err == nil {
-				orphans = orphans.WithSuccess(t.duty)
-			} else {
-				orphans = orphans.WithFailure(claim.Failure{Duty: t.duty, Known: t.known, Stale: errors.Is(t.err, errStaleDirectory)}, clock.SinceBoot())
-			}
+		case a := <-l.finishedTakeovers.Items():
+			delete(claiming, a.Duty)
+			orphans = orphans.WithAttempt(a, clock.SinceBoot())
 		case <-l.directoryUpdates.Items():
 		case <-ticker.C:
 		}
@@ -174,7 +163,7 @@
 		var claims []string
 		orphans, claims = claim.Decide(orphans, claim.Input{
 			Now: clock.SinceBoot(), Self: self, MemberSince: memberSince, StoreLost: outageStart != 0, StoreBackAt: outageEnd,
-			Held: l.heldDuties(claiming), Directory: d,
+			Held: l.heldDuties(claiming), TakingOver: claiming, Directory: d,
 		})
 		for _, duty := range claims {
 			if claiming[duty] || l.owns(duty) {
@@ -183,7 +172,8 @@
 			claiming[duty] = true
 			go func() {
 				err := l.takeOver(ctx, duty, self, directory)
-				_ = l.finishedTakeovers.PushWait(ctx, finishedTakeover{duty: duty, known: d.Owners[duty], err: err}) // fails only when the process stops
+				a := claim.Attempt{Duty: duty, Known: d.Owners[duty], Stale: errors.Is(err, errStaleDirectory)}
+				_ = l.finishedTakeovers.PushWait(ctx, a) // fails only when the process stops
 			}()
 		}
 	}
