Pause after a watch that ends early without a change

Found while looking for calls that are repeated without a pause; no operator has reported it.

Cause: the directory watches again at once after a watch without a change, because the store is expected to have waited for one. A store that answers at once gets the next call at once, from each of the three watches of each daemon, out of 2,000 reads a second for all daemons.

--- a/internal/link/directory/link.go
+++ b/internal/link/directory/link.go
@@ -151,6 +151,7 @@
 	wait := l.settings.WatchWait.Value()
 	callCtx, cancel := context.WithTimeout(ctx, wait+l.settings.WatchMargin.Value())
 	defer cancel()
+	start := clock.SinceBoot()
 	events, revision, err := store.Watch(callCtx, s.prefix, after, wait)
 	if ctx.Err() != nil {
 		return after, ctx.Err()
@@ -161,6 +162,9 @@
 		return after, ctx.Err() // the watch continues at the same revision
 	}
 	l.recordAnswer(s, nil)
+	if err == nil && len(events) == 0 && clock.SinceBoot()-start < wait/2 {
+		l.sleep(ctx, l.settings.RetryInterval.Value()) // the store does not wait for a change
+	}
 	if err != nil || len(events) == 0 {
 		return max(revision, after), err
 	}
