Pause when the store compacts the history before the first watch

Found while looking for calls that are repeated without a pause; no operator has reported it.

Cause: after a watch whose history is compacted, the directory lists and watches again at once. If the store compacts faster than a daemon lists, or gives a list a revision that it has already compacted, each list is followed by such a watch, and both are repeated as fast as the store answers, with a log line (follow.history) each time.

--- a/internal/link/directory/link.go
+++ b/internal/link/directory/link.go
@@ -97,8 +97,10 @@
 		if revision == 0 {
 			revision, err = l.list(ctx, store, s)
 		}
+		watched := false
 		for err == nil {
 			revision, err = l.watch(ctx, store, s, revision)
+			watched = watched || err == nil
 		}
 		if ctx.Err() != nil {
 			break
@@ -106,7 +108,9 @@
 		revision = 0
 		if errors.Is(err, port.ErrCompacted) {
 			l.log.Info("store compacted the history, listing again", "event", "follow.history", "prefix", s.prefix)
-			continue
+			if watched {
+				continue // without a watch since the last list, another list is unlikely to help
+			}
 		}
 		l.sleep(ctx, l.settings.RetryInterval.Value())
 	}
