--- a/internal/link/directory/link.go
+++ b/internal/link/directory/link.go
@@ -97,8 +97,10 @@
 		if revision == 0 {
 			revision, err = l.list(ctx, store, s)
 		}
+		watched := false
 		for err == nil {
 			revision, err = l.watch(ctx, store, s, revision)
+			watched = watched || err == nil
 		}
 		if ctx.Err() != nil {
 			break
@@ -106,7 +108,9 @@
 		revision = 0
 		if errors.Is(err, port.ErrCompacted) {
 			l.log.Info("store compacted the history, listing again", "event", "follow.history", "prefix", s.prefix)
-			continue
+			if watched {
+				continue // without a watch since the last list, another list is unlikely to help
+			}
 		}
 		l.sleep(ctx, l.settings.RetryInterval.Value())
 	}
@@ -151,6 +155,7 @@
 	wait := l.settings.WatchWait.Value()
 	callCtx, cancel := context.WithTimeout(ctx, wait+l.settings.WatchMargin.Value())
 	defer cancel()
+	start := clock.SinceBoot()
 	events, revision, err := store.Watch(callCtx, s.prefix, after, wait)
 	if ctx.Err() != nil {
 		return after, ctx.Err()
@@ -161,6 +166,9 @@
 		return after, ctx.Err() // the watch continues at the same revision
 	}
 	l.recordAnswer(s, nil)
+	if err == nil && len(events) == 0 && clock.SinceBoot()-start < wait/2 {
+		l.sleep(ctx, l.settings.RetryInterval.Value()) // the store does not wait for a change
+	}
 	if err != nil || len(events) == 0 {
 		return max(revision, after), err
 	}
