Judge repeated runs in the soak as the users state the rule

An end is not taken note of if the lease of its executor lapsed between the two; the stand-in reports lapses, in their order with ends and acknowledgements.

The one case that is no longer reported is a start after an acknowledgement that came after a lapse, which the rule allows; the report counts these acknowledgements (LapsedNotes).

Ledger is exported with what its external test needs.

--- a/internal/proof/soak/caller.go
+++ b/internal/proof/soak/caller.go
@@ -68,7 +68,7 @@
 func (s *soak) submit(ctx context.Context, c *site.Caller, r *rand.Rand, j site.Job) bool {
 	for range attempts {
 		d := s.daemonFor(r)
-		s.ledger.submitting(j)
+		s.ledger.Submitting(j)
 		sent := s.ledger.now()
 		status, err := c.Submit(ctx, d.callerAddress, j)
 		if ctx.Err() != nil {
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -29,13 +29,14 @@
 
 // Report holds the violations and counts of a run.
 type Report struct {
-	Violations []Violation
-	Faults     map[string]int // by kind
-	Jobs       int
-	Accepted   int
-	Completed  int
-	Starts     int
-	Answers    map[string]int // by kind of call and status
+	Violations  []Violation
+	Faults      map[string]int // by kind
+	Jobs        int
+	Accepted    int
+	Completed   int
+	Starts      int
+	LapsedNotes int            // successes that were acknowledged after the lease of their executor had lapsed
+	Answers     map[string]int // by kind of call and status
 }
 
 // Bounds of the fault-free period at the end of a run, and parameters of the maintenance wave.
@@ -49,7 +50,7 @@
 // soak is one run.
 type soak struct {
 	options Options
-	ledger  *ledger
+	ledger  *Ledger
 	system  *system
 
 	mutex      sync.Mutex
@@ -61,7 +62,7 @@
 // Run starts a system, injects faults into it and reports the violations that callers and executors observed. It
 // returns an error that wraps ErrNotReady if the daemons do not become ready in time.
 func Run(ctx context.Context, o Options) (Report, error) {
-	s := &soak{options: o, ledger: newLedger(), busy: map[*daemon]bool{}, version: 1}
+	s := &soak{options: o, ledger: NewLedger(), busy: map[*daemon]bool{}, version: 1}
 	var err error
 	s.system, err = newSystem(ctx, o, s.ledger)
 	if s.system != nil {
@@ -182,7 +183,8 @@
 	s.ledger.mutex.Lock()
 	defer s.ledger.mutex.Unlock()
 	r := Report{
-		Violations: s.ledger.violations, Faults: map[string]int{}, Jobs: len(s.ledger.jobs), Starts: s.ledger.starts, Answers: s.ledger.answers,
+		Violations: s.ledger.violations, Faults: map[string]int{}, Jobs: len(s.ledger.jobs), Starts: s.ledger.starts,
+		LapsedNotes: s.ledger.lapsedNotes, Answers: s.ledger.answers,
 	}
 	for _, a := range actions {
 		r.Faults[strings.TrimPrefix(fmt.Sprintf("%T", a.fault), "soak.")]++
--- a/internal/proof/soak/system.go
+++ b/internal/proof/soak/system.go
@@ -33,7 +33,7 @@
 	bin     string
 	dir     string
 	daemons []*daemon
-	ledger  *ledger
+	ledger  *Ledger
 
 	mutex     sync.Mutex
 	executors map[string]*Proxy // by executor ID
@@ -55,11 +55,11 @@
 
 // newSystem starts the stand-ins and the daemons and waits until they are ready. It returns an error that wraps
 // ErrNotReady if they do not become ready in time.
-func newSystem(ctx context.Context, o Options, l *ledger) (*system, error) {
+func newSystem(ctx context.Context, o Options, l *Ledger) (*system, error) {
 	s := &system{bin: o.Bin, dir: o.Dir, ledger: l, executors: map[string]*Proxy{}}
 	var err error
 	s.site, err = site.NewWith(site.Options{
-		Instances: o.Instances, Standby: o.Instances / 2, Pools: Pools, Rate: clockRate, Observe: l.observe, Front: s.addProxy,
+		Instances: o.Instances, Standby: o.Instances / 2, Pools: Pools, Rate: clockRate, Observe: l.Observe, Front: s.addProxy,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/standin/site/event.go
+++ b/internal/standin/site/event.go
@@ -33,6 +33,12 @@
 	At       time.Time
 }
 
+// Lapse reports that an executor's lease has expired, after the ends of the runs that it ended.
+type Lapse struct {
+	Executor string
+	At       time.Time
+}
+
 // Gone reports that an incarnation of an executor has ended, together with all its runs.
 type Gone struct {
 	Executor string
@@ -50,6 +56,7 @@
 func (Start) event()  {}
 func (End) event()    {}
 func (Noted) event()  {}
+func (Lapse) event()  {}
 func (Gone) event()   {}
 func (Upkeep) event() {}
 
