Let a new fleet owner wait for a list that shows the last orders

After a takeover a fleet owner could order the maintenance of one instance more than a wave allows, or move an instance that was already ordered elsewhere: it waited 1.5 s for the last orders of its predecessor to show, but then used the last list that it had, which may have been requested before these orders arrived: up to 0.9 s earlier, and any time earlier while lists failed. It now waits until the list has been requested 1.5 s after the takeover.

TestNewOwnerWaitsForNewList failed before and passes now.

--- a/internal/decision/maintenance/handover_test.go
+++ b/internal/decision/maintenance/handover_test.go
@@ -90,7 +90,7 @@
 	if o.stopped {
 		return
 	}
-	instances := slices.Clone(o.instances)
+	instances, requestedAt := slices.Clone(o.instances), o.now
 	o.afterUpTo(maxListDelay, func() {
 		load := port.Load{Executors: map[string]port.ExecutorLoad{}}
 		for n, i := range instances {
@@ -99,7 +99,9 @@
 			}
 			load.Executors[i.Executor] = port.ExecutorLoad{Usable: true, CPU: int64(instanceCPU + n)}
 		}
-		o.step(maintenance.Tick{Now: o.now, Directory: o.wave, Instances: instances, Loads: map[string]port.Load{"a": load}})
+		o.step(maintenance.Tick{
+			Now: o.now, Directory: o.wave, Instances: instances, ListAge: o.now - requestedAt, Loads: map[string]port.Load{"a": load},
+		})
 		o.after(tickInterval, o.poll)
 	})
 }
--- a/internal/decision/maintenance/maintenance_test.go
+++ b/internal/decision/maintenance/maintenance_test.go
@@ -196,6 +196,27 @@
 	c.Assert(orders(effects), qt.HasLen, 1)
 }
 
+// Guards against a new owner that orders maintenance on the strength of a list from before its predecessor's last orders
+// arrived: it would not count the instances that are down for these.
+func TestNewOwnerWaitsForNewList(t *testing.T) {
+	c := qt.New(t)
+	d := wave(1, "a-0", "a-1")
+	loads := map[string]port.Load{"a": poolLoad("a", 2, 0, 0)}
+	empty := maintenance.VacateResult{Pool: "a", Executors: []string{"x-a-0", "x-a-1"}, ClosedUntil: 13 * time.Second}
+	s, _ := maintenance.Step(maintenance.New(nil), maintenance.Tick{Now: 10 * time.Second, Directory: d, Instances: upInstances("a", 2), Loads: loads})
+	s, _ = maintenance.Step(s, maintenance.Tick{Now: 12 * time.Second, Directory: d, Loads: loads}) // the list could not be read
+	s, effects := maintenance.Step(s, empty)
+	c.Assert(orders(effects), qt.HasLen, 0)
+	s, _ = maintenance.Step(s, maintenance.Tick{
+		Now: 12 * time.Second, Directory: d, Instances: upInstances("a", 2), ListAge: 900 * time.Millisecond, Loads: loads,
+	})
+	s, effects = maintenance.Step(s, empty)
+	c.Assert(orders(effects), qt.HasLen, 0)
+	s, _ = maintenance.Step(s, maintenance.Tick{Now: 12100 * time.Millisecond, Directory: d, Instances: upInstances("a", 2), Loads: loads})
+	_, effects = maintenance.Step(s, empty)
+	c.Assert(orders(effects), qt.HasLen, 1)
+}
+
 // Guards against orders for an executor that may no longer be empty because the vacate result has expired.
 func TestExpiredVacateResultIsIgnored(t *testing.T) {
 	c := qt.New(t)
--- a/internal/decision/maintenance/message.go
+++ b/internal/decision/maintenance/message.go
@@ -19,6 +19,7 @@
 	Now       time.Duration // since boot, like all times in this package
 	Directory cluster.Directory
 	Instances []site.Instance      // nil if the list could not be read
+	ListAge   time.Duration        // time since the list was requested
 	Loads     map[string]port.Load // by pool, without the pools whose owner did not answer
 }
 
--- a/internal/decision/maintenance/state.go
+++ b/internal/decision/maintenance/state.go
@@ -55,7 +55,7 @@
 type State struct {
 	now            time.Duration
 	instances      map[string]site.Instance
-	listedAt       time.Duration             // when the instances were last listed, 0 if never
+	listedAt       time.Duration             // when the last list of the instances was requested, 0 if never
 	missingSince   map[string]time.Duration  // since when instances of waves have not been listed
 	operations     map[string]operation      // by instance
 	done           map[int64]map[string]bool // by wave and instance; includes instances that cannot be maintained
--- a/internal/decision/maintenance/step.go
+++ b/internal/decision/maintenance/step.go
@@ -15,7 +15,8 @@
 
 // Delays of operations.
 const (
-	// No orders are sent for this long after a takeover, until the last orders of the previous owner show in the list.
+	// No orders are sent until the list has been requested this long after a takeover, and therefore shows the last orders
+	// of the previous owner.
 	takeoverDelay = 1500 * time.Millisecond
 	// An instance that is still up this long after its order was accepted does not leave again: the platform had
 	// already carried out the same order of a previous owner.
@@ -46,7 +47,7 @@
 		s.startedAt = m.Now
 	}
 	if m.Instances != nil {
-		s = s.withInstances(m.Instances)
+		s = s.withInstances(m.Instances, m.Now-m.ListAge)
 	}
 	var out []Effect
 	for _, number := range slices.Sorted(maps.Keys(m.Directory.Waves)) {
@@ -60,8 +61,9 @@
 	return s, append(out, s.vacateEffects(m.Directory)...)
 }
 
-// withInstances returns a copy with the listed instances and without the operations that are complete.
-func (s State) withInstances(instances []site.Instance) State {
+// withInstances returns a copy with the instances of a list that was requested at a time, and without the operations that
+// are complete.
+func (s State) withInstances(instances []site.Instance, requestedAt time.Duration) State {
 	s.instances = make(map[string]site.Instance, len(instances))
 	for _, i := range instances {
 		s.instances[i.Name] = i
@@ -77,7 +79,7 @@
 			executorSince[i.Executor] = before
 		}
 	}
-	s.executorSince, s.listedAt = executorSince, s.now
+	s.executorSince, s.listedAt = executorSince, requestedAt
 	for name, op := range s.operations {
 		i, ok := s.instances[name]
 		returned := ok && i.State == site.InstanceUp && (i.Executor != op.executorBefore || i.Executor == "")
@@ -125,7 +127,7 @@
 		if !ok || op.stage != vacating || !slices.Contains(m.Executors, key) || s.now >= m.ClosedUntil {
 			continue
 		}
-		if s.now-s.startedAt < takeoverDelay || !s.allowed(op.purpose) {
+		if s.listedAt-s.startedAt < takeoverDelay || !s.allowed(op.purpose) {
 			continue
 		}
 		op.stage, op.since, op.executorBefore = ordered, s.now, i.Executor
--- a/internal/link/pool/fleet_owner.go
+++ b/internal/link/pool/fleet_owner.go
@@ -104,7 +104,6 @@
 func (f *fleetOwner) run() {
 	ctx := f.context
 	defer close(f.done)
-	var instances []site.Instance
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -118,12 +117,13 @@
 		}
 		d := f.directory.Directory()
 		if d.Config != nil {
-			var err error
-			instances, err = f.listInstances(ctx)
+			requestedAt := clock.SinceBoot()
+			instances, err := f.listInstances(ctx)
 			if f.isNewError("list", err) && ctx.Err() == nil {
 				f.link.log.Info("reading the instance list failed", "event", "fleet.list", "error", err)
 			}
-			f.step(ctx, maintenance.Tick{Now: clock.SinceBoot(), Directory: d, Instances: instances, Loads: f.readLoads(ctx, d)})
+			now := clock.SinceBoot()
+			f.step(ctx, maintenance.Tick{Now: now, Directory: d, Instances: instances, ListAge: now - requestedAt, Loads: f.readLoads(ctx, d)})
 		}
 		timer.Reset(pollInterval(d))
 	}
