Order instances only while the store confirms the fleet's owner

Operators would see more instances down than a wave allows, and instances ordered by two daemons in turn.

An order is now sent only within 0.6 s of the sending of a write under the owner's write fence, and given up after another 0.8 s. The next owner takes over after such a write and waits 1.5 s, so it gives its first order after the last one of its predecessor has arrived. The time is checked again when the order is sent, because the daemon may have been suspended since the decision. The write is made on a lane of its own when an instance is ready to be ordered, so that a burst of orders shares one and an idle owner makes none. An owner that has waited for 1 s leaves executors to their pools and plans nothing. Not covered: an order that the platform carries out after its timeout.

The simulated fleet answers the new effect and refuses orders after their time; the tests of single decisions confirm the owner where they expect an order.

--- a/internal/decision/maintenance/balance.go
+++ b/internal/decision/maintenance/balance.go
@@ -91,7 +91,7 @@
 // balance moves instances from standby and from pools with a surplus to pools with a shortage, the largest shortage
 // first.
 func (s State) balance(m Tick) (State, []Effect) {
-	if m.Instances == nil || m.Directory.Config == nil || len(m.Loads) == 0 {
+	if m.Instances == nil || m.Directory.Config == nil || len(m.Loads) == 0 || s.confirmation.overdue {
 		return s, nil
 	}
 	s = s.cancelStalledMoves()
--- a/internal/decision/maintenance/handover_test.go
+++ b/internal/decision/maintenance/handover_test.go
@@ -19,11 +19,15 @@
 	tickInterval  = 120 * time.Millisecond
 	maxOrderDelay = 800  // ms until an order arrives, which is the timeout of an order
 	maxListDelay  = 400  // ms until a list is answered
+	maxWriteDelay = 250  // ms until a write to the store is applied, and again until it is answered
 	maxPause      = 3000 // ms for which a daemon is suspended before it sends an order
 	emptyFor      = 500 * time.Millisecond
 )
 
-var errNoAnswer = errors.New("no answer")
+var (
+	errNoAnswer = errors.New("no answer")
+	errRefused  = errors.New("store did nothing")
+)
 
 // handover is a fleet whose owner loses the store, and whose next owner takes the fleet over while the former one still
 // reaches the instance list. The platform doesn't check fencing tokens.
@@ -115,9 +119,11 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case maintenance.Vacate:
-			o.step(maintenance.VacateResult{Pool: e.Pool, Executors: e.Executors, ClosedUntil: o.now + emptyFor})
+			o.step(maintenance.VacateResult{Now: o.now, Pool: e.Pool, Executors: e.Executors, ClosedUntil: o.now + emptyFor})
 		case maintenance.StartMaintenance:
 			o.send(e)
+		case maintenance.Confirm:
+			o.confirm()
 		case maintenance.ReportWave:
 			o.write(func() { o.stored, o.completed = e.Done, o.completed || e.Completed })
 		case maintenance.MoveInstance, maintenance.StepDown:
@@ -139,9 +145,29 @@
 	return !o.stopped
 }
 
+// confirm writes to the store, which may take long or refuse. Without an answer, the write is repeated until the owner is
+// no longer cut off.
+func (o *fleetOwner) confirm() {
+	sent := o.now
+	o.afterUpTo(maxWriteDelay, func() {
+		err := errRefused
+		if rapid.IntRange(0, 9).Draw(o.t, "refused") != 0 {
+			if !o.write(func() {}) {
+				return
+			}
+			err = nil
+		}
+		o.afterUpTo(maxWriteDelay, func() { o.step(maintenance.ConfirmResult{Now: o.now, Sent: sent, Err: err}) })
+	})
+}
+
 // send sends an order, now or after a pause of the daemon. The order or its answer may take long or be lost.
 func (o *fleetOwner) send(e maintenance.StartMaintenance) {
 	deliver := func() {
+		if o.now >= e.SendBy {
+			o.step(maintenance.OrderResult{Now: o.now, Instance: e.Instance, Err: maintenance.ErrNotSent})
+			return
+		}
 		o.afterUpTo(maxOrderDelay, func() {
 			err := o.arrive(o.epoch, e.Instance)
 			if rapid.IntRange(0, 9).Draw(o.t, "lost") == 0 {
@@ -183,7 +209,7 @@
 	return nil
 }
 
-// drawHandover plays a handover during a wave of 12 instances, until a minute after the takeover.
+// drawHandover plays a handover during a wave of 12 instances, until the wave is completed or two minutes have passed.
 func drawHandover(t *rapid.T) *handover {
 	h := &handover{t: t, now: 10 * time.Second, instances: upInstances("a", 12), done: map[string]bool{}}
 	var names []string
@@ -198,7 +224,9 @@
 	former.cut = rapid.IntRange(0, 4).Draw(t, "cut") != 0 // otherwise it learns of the takeover from its next write
 	h.advance(time.Duration(rapid.IntRange(0, 4000).Draw(t, "takeover")) * time.Millisecond)
 	h.takeOver()
-	h.advance(time.Minute)
+	for n := 0; n < 24 && !h.completed; n++ {
+		h.advance(5 * time.Second)
+	}
 	return h
 }
 
--- a/internal/decision/maintenance/maintenance_test.go
+++ b/internal/decision/maintenance/maintenance_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,6 +59,16 @@
 	return instances
 }
 
+// confirmed passes a message on and confirms the ownership of the fleet if that is asked for.
+func confirmed(s maintenance.State, now time.Duration, m maintenance.Message) (maintenance.State, []maintenance.Effect) {
+	s, effects := maintenance.Step(s, m)
+	if !slices.Contains(effects, maintenance.Effect(maintenance.Confirm{})) {
+		return s, effects
+	}
+	s, more := maintenance.Step(s, maintenance.ConfirmResult{Now: now, Sent: now})
+	return s, append(effects, more...)
+}
+
 // Guards against unmet demand while instances on standby are idle, and against moves that take instances that their
 // pool needs.
 func TestDemandMovesInstances(t *testing.T) {
@@ -118,7 +129,7 @@
 	}
 	s, _ := tick(maintenance.New(nil), 10*time.Second)
 	s, _ = tick(s, 12*time.Second)
-	s, effects := maintenance.Step(s, maintenance.VacateResult{Pool: "a", Executors: []string{"x-a-0", "x-a-1"}, ClosedUntil: 13 * time.Second})
+	s, effects := confirmed(s, 12*time.Second, maintenance.VacateResult{Pool: "a", Executors: []string{"x-a-0", "x-a-1"}, ClosedUntil: 13 * time.Second})
 	c.Assert(orders(effects), qt.HasLen, 1)
 	s, _ = maintenance.Step(s, maintenance.OrderResult{Now: 12 * time.Second, Instance: orders(effects)[0]})
 	planned := 0
@@ -192,7 +203,7 @@
 	for _, now := range []time.Duration{10, 11, 12} {
 		s, _ = maintenance.Step(s, maintenance.Tick{Now: now * time.Second, Directory: d, Instances: instances, Loads: loads})
 	}
-	_, effects := maintenance.Step(s, maintenance.VacateResult{Pool: "a", Executors: []string{"x-a-0", "x-a-1", "x-a-2"}, ClosedUntil: 13 * time.Second})
+	_, effects := confirmed(s, 12*time.Second, maintenance.VacateResult{Pool: "a", Executors: []string{"x-a-0", "x-a-1", "x-a-2"}, ClosedUntil: 13 * time.Second})
 	c.Assert(orders(effects), qt.HasLen, 1)
 }
 
@@ -205,15 +216,16 @@
 	empty := maintenance.VacateResult{Pool: "a", Executors: []string{"x-a-0", "x-a-1"}, ClosedUntil: 13 * time.Second}
 	s, _ := maintenance.Step(maintenance.New(nil), maintenance.Tick{Now: 10 * time.Second, Directory: d, Instances: upInstances("a", 2), Loads: loads})
 	s, _ = maintenance.Step(s, maintenance.Tick{Now: 12 * time.Second, Directory: d, Loads: loads}) // the list could not be read
-	s, effects := maintenance.Step(s, empty)
+	s, effects := confirmed(s, 12*time.Second, empty)
 	c.Assert(orders(effects), qt.HasLen, 0)
 	s, _ = maintenance.Step(s, maintenance.Tick{
 		Now: 12 * time.Second, Directory: d, Instances: upInstances("a", 2), ListAge: 900 * time.Millisecond, Loads: loads,
 	})
-	s, effects = maintenance.Step(s, empty)
+	s, effects = confirmed(s, 12*time.Second, empty)
 	c.Assert(orders(effects), qt.HasLen, 0)
-	s, _ = maintenance.Step(s, maintenance.Tick{Now: 12100 * time.Millisecond, Directory: d, Instances: upInstances("a", 2), Loads: loads})
-	_, effects = maintenance.Step(s, empty)
+	_, effects = confirmed(s, 12100*time.Millisecond, maintenance.Tick{
+		Now: 12100 * time.Millisecond, Directory: d, Instances: upInstances("a", 2), Loads: loads,
+	})
 	c.Assert(orders(effects), qt.HasLen, 1)
 }
 
@@ -225,7 +237,7 @@
 	for _, now := range []time.Duration{10, 12} {
 		s, _ = maintenance.Step(s, maintenance.Tick{Now: now * time.Second, Directory: d, Instances: upInstances("a", 1), Loads: map[string]port.Load{"a": poolLoad("a", 1, 0, 0)}})
 	}
-	_, effects := maintenance.Step(s, maintenance.VacateResult{Pool: "a", Executors: []string{"x-a-0"}, ClosedUntil: 11 * time.Second})
+	_, effects := confirmed(s, 12*time.Second, maintenance.VacateResult{Pool: "a", Executors: []string{"x-a-0"}, ClosedUntil: 11 * time.Second})
 	c.Assert(orders(effects), qt.HasLen, 0)
 }
 
@@ -237,7 +249,7 @@
 	for _, now := range []time.Duration{10, 12} {
 		s, _ = maintenance.Step(s, maintenance.Tick{Now: now * time.Second, Directory: d, Instances: upInstances("a", 1), Loads: map[string]port.Load{"a": poolLoad("a", 1, 0, 0)}})
 	}
-	s, effects := maintenance.Step(s, maintenance.VacateResult{Pool: "a", Executors: []string{"x-a-0"}, ClosedUntil: 13 * time.Second})
+	s, effects := confirmed(s, 12*time.Second, maintenance.VacateResult{Pool: "a", Executors: []string{"x-a-0"}, ClosedUntil: 13 * time.Second})
 	c.Assert(orders(effects), qt.DeepEquals, []string{"a-0"})
 	s, effects = maintenance.Step(s, maintenance.OrderResult{Now: 12 * time.Second, Instance: "a-0", Err: errors.New("no answer")})
 	c.Assert(orders(effects), qt.DeepEquals, []string{"a-0"})
--- a/internal/decision/maintenance/message.go
+++ b/internal/decision/maintenance/message.go
@@ -1,6 +1,7 @@
 package maintenance
 
 import (
+	"errors"
 	"log/slog"
 	"time"
 
@@ -25,6 +26,7 @@
 
 // VacateResult is the result of a Vacate effect: the executors of a pool that are empty and take no tasks until a time.
 type VacateResult struct {
+	Now         time.Duration
 	Pool        string
 	Executors   []string
 	ClosedUntil time.Duration
@@ -37,13 +39,24 @@
 	Err      error
 }
 
+// ErrNotSent is the result of an order that was not sent by its time, so that it has no effect.
+var ErrNotSent = errors.New("order was not sent in time")
+
+// ConfirmResult is the result of a Confirm effect.
+type ConfirmResult struct {
+	Now  time.Duration
+	Sent time.Duration // when the write was sent; no other daemon had taken the fleet over by then if Err is nil
+	Err  error
+}
+
 // ReportFailed reports that the progress of a wave could not be stored. It is reported again on the next Tick.
 type ReportFailed struct{ Wave int64 }
 
-func (ReportFailed) message() {}
-func (Tick) message()         {}
-func (VacateResult) message() {}
-func (OrderResult) message()  {}
+func (ReportFailed) message()  {}
+func (Tick) message()          {}
+func (VacateResult) message()  {}
+func (OrderResult) message()   {}
+func (ConfirmResult) message() {}
 
 // Effect is an output of Step.
 //
@@ -60,14 +73,19 @@
 type StartMaintenance struct {
 	Instance string
 	Wave     int64
+	SendBy   time.Duration // the order must not be sent later
 }
 
 // MoveInstance orders the move of an instance to another pool.
 type MoveInstance struct {
 	Instance string
 	Pool     string
+	SendBy   time.Duration // the order must not be sent later
 }
 
+// Confirm asks for a write that fails if another daemon has taken the fleet over.
+type Confirm struct{}
+
 // ReportWave publishes the progress of a wave and stores the instances whose maintenance is done.
 type ReportWave struct {
 	Wave      int64
@@ -89,6 +107,7 @@
 func (Vacate) effect()           {}
 func (StartMaintenance) effect() {}
 func (MoveInstance) effect()     {}
+func (Confirm) effect()          {}
 func (ReportWave) effect()       {}
 func (StepDown) effect()         {}
 func (Note) effect()             {}
--- a/internal/decision/maintenance/state.go
+++ b/internal/decision/maintenance/state.go
@@ -14,6 +14,7 @@
 const (
 	vacating   stage = iota
 	ordered          // the order was sent and its result is pending
+	unanswered       // the order got no answer and is to be repeated
 	inProgress       // the order was accepted; ends when the instance is listed as up again
 )
 
@@ -32,12 +33,12 @@
 func (poolMove) purpose()        {}
 
 // orderFor returns the effect that orders the operation.
-func orderFor(p purpose, instance string) Effect {
+func orderFor(p purpose, instance string, sendBy time.Duration) Effect {
 	switch p := p.(type) {
 	case waveMaintenance:
-		return StartMaintenance{Instance: instance, Wave: p.wave}
+		return StartMaintenance{Instance: instance, Wave: p.wave, SendBy: sendBy}
 	case poolMove:
-		return MoveInstance{Instance: instance, Pool: p.pool}
+		return MoveInstance{Instance: instance, Pool: p.pool, SendBy: sendBy}
 	default:
 		panic(fmt.Sprintf("maintenance: purpose %T is not handled", p))
 	}
@@ -49,6 +50,9 @@
 	stage          stage
 	since          time.Duration // when the stage began
 	executorBefore string        // executor of the instance before the order
+	emptyExecutor  string        // executor of the instance when it was last found empty
+	emptyUntil     time.Duration // until when that executor takes no tasks, 0 if it was not found empty
+	inDoubt        bool          // an order got no answer
 }
 
 // State holds the fleet as its owner sees it, and the operations in progress. It is immutable.
@@ -66,6 +70,7 @@
 	demands        map[string]demand         // by pool
 	executorSince  map[string]time.Duration  // since when executors have been listed
 	reportedDone   map[int64]int             // by wave: instances done at the last report, -1 if failed or final
+	confirmation   confirmation
 }
 
 // New returns the state of a new owner of the fleet, given the instances by wave whose maintenance is done.
@@ -128,13 +133,14 @@
 // Summary is the part of the state that the state dump shows.
 type Summary struct {
 	Instances  int               `json:"instances"`
-	Operations map[string]string `json:"visits"` // instance to purpose
-	Done       map[int64]int     `json:"done"`   // instances by wave
+	Operations map[string]string `json:"visits"`    // instance to purpose
+	Done       map[int64]int     `json:"done"`      // instances by wave
+	Confirmed  time.Duration     `json:"confirmed"` // time since the store has last confirmed the ownership; it does so before orders
 }
 
 // Summary returns the summary for the state dump.
 func (s State) Summary() Summary {
-	out := Summary{Instances: len(s.instances), Operations: map[string]string{}, Done: map[int64]int{}}
+	out := Summary{Instances: len(s.instances), Operations: map[string]string{}, Done: map[int64]int{}, Confirmed: s.now - s.confirmation.at}
 	for name, op := range s.operations {
 		out.Operations[name] = fmt.Sprintf("%+v", op.purpose)
 	}
--- a/internal/decision/maintenance/step.go
+++ b/internal/decision/maintenance/step.go
@@ -13,15 +13,9 @@
 	"teaselloft/internal/model/site"
 )
 
-// Delays of operations.
-const (
-	// No orders are sent until the list has been requested this long after a takeover, and therefore shows the last orders
-	// of the previous owner.
-	takeoverDelay = 1500 * time.Millisecond
-	// An instance that is still up this long after its order was accepted does not leave again: the platform had
-	// already carried out the same order of a previous owner.
-	departureTimeout = 4 * time.Second
-)
+// An instance that is still up this long after its order was accepted does not leave again: the platform had already
+// carried out the same order of a previous owner.
+const departureTimeout = 4 * time.Second
 
 // Step returns the state after a message and the effects to carry out.
 func Step(s State, m Message) (State, []Effect) {
@@ -32,6 +26,8 @@
 		return onVacateResult(s, m)
 	case OrderResult:
 		return onOrderResult(s, m)
+	case ConfirmResult:
+		return onConfirmResult(s, m)
 	case ReportFailed:
 		s.completed = maps.Clone(s.completed)
 		delete(s.completed, m.Wave)
@@ -49,7 +45,7 @@
 	if m.Instances != nil {
 		s = s.withInstances(m.Instances, m.Now-m.ListAge)
 	}
-	var out []Effect
+	s, out := s.checkConfirmation()
 	for _, number := range slices.Sorted(maps.Keys(m.Directory.Waves)) {
 		w := m.Directory.Waves[number]
 		var effects []Effect
@@ -58,6 +54,8 @@
 	}
 	s, effects := s.balance(m)
 	out = append(out, effects...)
+	s, effects = s.sendOrders()
+	out = append(out, effects...)
 	return s, append(out, s.vacateEffects(m.Directory)...)
 }
 
@@ -91,14 +89,15 @@
 	return s
 }
 
-// vacateEffects requests that the executors of all instances with an operation be emptied, or kept empty.
+// vacateEffects requests that the executors of all instances with an operation be emptied, or kept empty. While a
+// confirmation is overdue, only those are kept empty whose order may have been carried out.
 func (s State) vacateEffects(d cluster.Directory) []Effect {
 	pools := map[string][]string{}
 	var out []Effect
 	for _, name := range slices.Sorted(maps.Keys(s.operations)) {
 		op := s.operations[name]
 		i, ok := s.instances[name]
-		if !ok || op.stage == inProgress {
+		if !ok || op.stage == inProgress || op.stage == vacating && s.confirmation.overdue {
 			continue
 		}
 		if pool, ok := d.Config.Pool(i.Pool); ok && pool.Standby || i.Executor == "" {
@@ -113,10 +112,10 @@
 	return out
 }
 
-// onVacateResult orders the operations of instances whose executors are empty. Without a pool, Executors names instances
-// on standby.
+// onVacateResult notes which executors are empty and orders the operations of their instances. Without a pool, Executors
+// names instances on standby.
 func onVacateResult(s State, m VacateResult) (State, []Effect) {
-	var out []Effect
+	s.now = max(s.now, m.Now)
 	for _, name := range slices.Sorted(maps.Keys(s.operations)) {
 		op := s.operations[name]
 		i, ok := s.instances[name]
@@ -124,19 +123,12 @@
 		if m.Pool == "" {
 			key = name
 		}
-		if !ok || op.stage != vacating || !slices.Contains(m.Executors, key) || s.now >= m.ClosedUntil {
-			continue
-		}
-		if s.listedAt-s.startedAt < takeoverDelay || !s.allowed(op.purpose) {
-			continue
+		if ok && op.stage == vacating && slices.Contains(m.Executors, key) {
+			op.emptyExecutor, op.emptyUntil = i.Executor, m.ClosedUntil
+			s = s.withOperation(name, op)
 		}
-		op.stage, op.since, op.executorBefore = ordered, s.now, i.Executor
-		s = s.withOperation(name, op)
-		out = append(out, orderFor(op.purpose, name), Note{Level: slog.LevelInfo, Event: "instance.ordered", Attrs: []any{
-			"instance", name, "purpose", fmt.Sprintf("%+v", op.purpose), "from", i.Pool, "executor", i.Executor,
-		}})
 	}
-	return s, out
+	return s.sendOrders()
 }
 
 // allowed reports whether an order for the purpose may be sent now.
@@ -152,8 +144,10 @@
 }
 
 // onOrderResult applies the result of an order. An order whose outcome is unknown is repeated, which is idempotent. An
-// instance that does not exist or is not in the wave counts as done, so that the wave can be completed.
+// instance that does not exist or is not in the wave counts as done, so that the wave can be completed. An order that was
+// not sent waits for the next confirmation.
 func onOrderResult(s State, m OrderResult) (State, []Effect) {
+	s.now = max(s.now, m.Now)
 	op, ok := s.operations[m.Instance]
 	if !ok || op.stage != ordered {
 		return s, nil
@@ -168,6 +162,12 @@
 			s = s.withDone(wave.wave, m.Instance)
 		}
 		return s, []Effect{Note{Level: slog.LevelInfo, Event: "instance.away", Attrs: attrs}}
+	case errors.Is(m.Err, ErrNotSent):
+		op.stage, op.since = vacating, m.Now
+		if op.inDoubt {
+			op.stage = unanswered
+		}
+		return s.withOperation(m.Instance, op), []Effect{Note{Level: slog.LevelInfo, Event: "instance.unsent", Attrs: attrs}}
 	case errors.Is(m.Err, port.ErrFenced):
 		return s, []Effect{StepDown{Instance: m.Instance}}
 	case errors.Is(m.Err, port.ErrNoInstance), errors.Is(m.Err, port.ErrNotInWave):
@@ -179,6 +179,8 @@
 	case errors.Is(m.Err, port.ErrInstanceNotUp), errors.Is(m.Err, port.ErrRefused):
 		return s.withoutOperation(m.Instance), []Effect{Note{Level: slog.LevelInfo, Event: "instance.refused", Attrs: attrs}}
 	default:
-		return s, []Effect{Note{Level: slog.LevelWarn, Event: "instance.unsure", Attrs: attrs}, orderFor(op.purpose, m.Instance)}
+		op.stage, op.since, op.inDoubt = unanswered, m.Now, true
+		s, effects := s.withOperation(m.Instance, op).sendOrders()
+		return s, append([]Effect{Note{Level: slog.LevelWarn, Event: "instance.unsure", Attrs: attrs}}, effects...)
 	}
 }
--- a/internal/decision/maintenance/wave.go
+++ b/internal/decision/maintenance/wave.go
@@ -42,7 +42,7 @@
 		s = s.withReported(w.Number, len(s.done[w.Number]))
 		out = append(out, ReportWave{Wave: w.Number, Done: s.doneInstances(w.Number)})
 	}
-	if s.listedAt == 0 {
+	if s.listedAt == 0 || s.confirmation.overdue {
 		return s, out
 	}
 	available := s.concurrency(w, len(pending)) - s.activeOperations(w.Number)
--- a/internal/link/pool/fleet_owner.go
+++ b/internal/link/pool/fleet_owner.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,8 +30,7 @@
 	ownerCallTimeout    = 200 * time.Millisecond  // for one call to a pool owner
 	vacateDuration      = 1200 * time.Millisecond // time that a pool owner keeps executors empty after each call
 	vacateMargin        = 700 * time.Millisecond  // part of vacateDuration reserved for the order to arrive
-	instanceTimeout     = 800 * time.Millisecond  // for the answer to an order to an instance
-	outcomeCapacity     = 64                      // queued results of orders
+	resultCapacity      = 64                      // queued results of orders and confirmations
 )
 
 const prefixWave = "teaselloft/wave/" // key prefix of the instances of a wave that have had their maintenance
@@ -44,7 +44,9 @@
 	state        atomic.Pointer[maintenance.State]
 	writer       writer
 	commitNumber uint64
-	outcomes     *ring.Ring[maintenance.OrderResult]
+	confirms     *ring.Ring[maintenance.Confirm]
+	confirmer    writer // used only by confirmLoop
+	results      *ring.Ring[maintenance.Message]
 	context      context.Context // of run
 	cancel       context.CancelFunc
 	done         chan struct{}     // closed when run returns
@@ -80,8 +82,10 @@
 		completed[number] = done
 	}
 	f := &fleetOwner{
-		ownership: own, link: l, directory: directory, instances: instances, writer: writers[0], lastErrors: map[string]string{}, done: make(chan struct{}),
-		outcomes: ring.New[maintenance.OrderResult]("fleet.outcomes", outcomeCapacity, ring.Block, l.host.Metrics),
+		ownership: own, link: l, directory: directory, instances: instances, lastErrors: map[string]string{}, done: make(chan struct{}),
+		writer: writers[0], confirmer: writers[1],
+		confirms: ring.New[maintenance.Confirm]("fleet.confirms", 1, ring.Block, l.host.Metrics), // one is pending at a time
+		results:  ring.New[maintenance.Message]("fleet.outcomes", resultCapacity, ring.Block, l.host.Metrics),
 	}
 	s := maintenance.New(completed)
 	f.state.Store(&s)
@@ -104,14 +108,17 @@
 func (f *fleetOwner) run() {
 	ctx := f.context
 	defer close(f.done)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { f.confirmLoop(ctx) })
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case o := <-f.outcomes.Items():
-			f.step(ctx, o)
+		case m := <-f.results.Items():
+			f.step(ctx, m)
 			continue
 		case <-timer.C:
 		}
@@ -203,9 +210,13 @@
 		case maintenance.Vacate:
 			f.vacate(ctx, e)
 		case maintenance.StartMaintenance:
-			f.sendOrder(ctx, e.Instance, func(ctx context.Context, o port.InstanceOrder) error { return f.instances.Maintain(ctx, o, e.Wave) })
+			f.sendOrder(ctx, e.Instance, e.SendBy, func(ctx context.Context, o port.InstanceOrder) error { return f.instances.Maintain(ctx, o, e.Wave) })
 		case maintenance.MoveInstance:
-			f.sendOrder(ctx, e.Instance, func(ctx context.Context, o port.InstanceOrder) error { return f.instances.Move(ctx, o, e.Pool) })
+			f.sendOrder(ctx, e.Instance, e.SendBy, func(ctx context.Context, o port.InstanceOrder) error { return f.instances.Move(ctx, o, e.Pool) })
+		case maintenance.Confirm:
+			if err := f.confirms.Push(ctx, e); err != nil {
+				return // the duty is stopped
+			}
 		case maintenance.ReportWave:
 			f.reportWave(ctx, e)
 		case maintenance.StepDown:
@@ -223,7 +234,7 @@
 func (f *fleetOwner) vacate(ctx context.Context, e maintenance.Vacate) {
 	now := clock.SinceBoot()
 	if e.Pool == "" {
-		f.step(ctx, maintenance.VacateResult{Executors: e.Executors, ClosedUntil: now + vacateDuration})
+		f.step(ctx, maintenance.VacateResult{Now: now, Executors: e.Executors, ClosedUntil: now + vacateDuration})
 		return
 	}
 	owner, ok := f.ownerOf(e.Pool, f.directory.Directory())
@@ -239,19 +250,38 @@
 	if err != nil {
 		return
 	}
-	f.step(ctx, maintenance.VacateResult{Pool: e.Pool, Executors: empty, ClosedUntil: now + vacateDuration - vacateMargin})
+	f.step(ctx, maintenance.VacateResult{Now: clock.SinceBoot(), Pool: e.Pool, Executors: empty, ClosedUntil: now + vacateDuration - vacateMargin})
 }
 
-// sendOrder sends an order to an instance without blocking, and queues its result in f.outcomes.
-func (f *fleetOwner) sendOrder(ctx context.Context, instance string, send func(context.Context, port.InstanceOrder) error) {
+// sendOrder sends an order to an instance without blocking, and queues its result. The order is not sent after sendBy, so
+// that a daemon that was suspended meanwhile gives no order beside the next owner of the fleet.
+func (f *fleetOwner) sendOrder(ctx context.Context, instance string, sendBy time.Duration, send func(context.Context, port.InstanceOrder) error) {
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, instanceTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, maintenance.OrderTimeout)
 		defer cancel()
-		err := send(callCtx, port.InstanceOrder{Instance: instance, Holder: f.self.Name, FencingToken: f.epoch})
-		_ = f.outcomes.PushWait(ctx, maintenance.OrderResult{Now: clock.SinceBoot(), Instance: instance, Err: err}) // fails only when the duty is stopped
+		err := maintenance.ErrNotSent
+		if clock.SinceBoot() < sendBy {
+			err = send(callCtx, port.InstanceOrder{Instance: instance, Holder: f.self.Name, FencingToken: f.epoch})
+		}
+		_ = f.results.PushWait(ctx, maintenance.OrderResult{Now: clock.SinceBoot(), Instance: instance, Err: err}) // fails only when the duty is stopped
 	}()
 }
 
+// confirmLoop confirms the ownership of the fleet by writes on a lane of its own.
+func (f *fleetOwner) confirmLoop(ctx context.Context) {
+	for number := uint64(1); ; number++ {
+		if _, err := f.confirms.Pull(ctx); err != nil {
+			return
+		}
+		err := f.confirmer.apply(ctx, schedule.Commit{Number: number}, f.link.log, func() {})
+		if errors.Is(err, errSuperseded) {
+			f.link.stepDown(f, err.Error())
+			return
+		}
+		_ = f.results.PushWait(ctx, maintenance.ConfirmResult{Now: clock.SinceBoot(), Sent: f.confirmer.sentAt, Err: err}) // fails only when the duty is stopped
+	}
+}
+
 // reportWave stores the progress of a wave.
 func (f *fleetOwner) reportWave(ctx context.Context, e maintenance.ReportWave) {
 	codec, ok := kernel.Use[port.SiteCodec](f.link.host)
--- a/internal/link/pool/writer.go
+++ b/internal/link/pool/writer.go
@@ -35,7 +35,8 @@
 	revision      int64 // of the write fence
 	fence         cluster.WriteFence
 	ownerKey      string
-	ownerRevision int64 // 0 for the write that takes a duty over
+	ownerRevision int64         // 0 for the write that takes a duty over
+	sentAt        time.Duration // when the last attempt was sent
 }
 
 // commitLoop applies the commits of a lane.
@@ -83,6 +84,7 @@
 	inDoubt := false
 	for timeout := initialWriteTimeout; ctx.Err() == nil; timeout = min(2*timeout, maxWriteTimeout) {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		w.sentAt = clock.SinceBoot()
 		revision, err := w.store.Apply(callCtx, txn)
 		cancel()
 		var conflict *port.ConflictError
