Count an instance as unavailable while an order is in doubt

A wave could have one instance more down than it allows. An order without an answer had been carried out, its repetition was refused, because the instance was down by then or because the platform did not take the call, and the operation was dropped. Until the list showed the instance as down, it did not count, and another one was ordered. After an order without an answer, "not up" now means that the instance has left, and a refusal of the repetition leaves the order in doubt.

--- a/internal/decision/maintenance/confirm_test.go
+++ b/internal/decision/maintenance/confirm_test.go
@@ -108,3 +108,26 @@
 	_, effects = maintenance.Step(s, maintenance.ConfirmResult{Now: 12900 * time.Millisecond, Sent: 12800 * time.Millisecond})
 	c.Assert(orders(effects), qt.DeepEquals, []string{"a-0"}, qt.Commentf("repeated without another check of the executor"))
 }
+
+// Guards against one more unavailable instance than a wave allows while the list does not show yet that an order without
+// an answer was carried out: its repetition is refused because the instance is down, or because nothing was sent.
+func TestOrderInDoubtStaysCounted(t *testing.T) {
+	for _, repeated := range []error{port.ErrInstanceNotUp, port.ErrRefused} {
+		t.Run(repeated.Error(), func(t *testing.T) {
+			c := qt.New(t)
+			s := vacated(c, 2)
+			tick := tickAt(12100*time.Millisecond, 2)
+			tick.Directory = wave(1, "a-0", "a-1")
+			s, _ = maintenance.Step(s, tick)
+			s, effects := maintenance.Step(s, maintenance.ConfirmResult{Now: 12100 * time.Millisecond, Sent: 12100 * time.Millisecond})
+			c.Assert(orders(effects), qt.DeepEquals, []string{"a-0"})
+			for _, err := range []error{errors.New("no answer"), repeated} {
+				s, effects = maintenance.Step(s, maintenance.OrderResult{Now: 12200 * time.Millisecond, Instance: "a-0", Err: err})
+				c.Assert(slices.Contains(orders(effects), "a-1"), qt.IsFalse)
+			}
+			tick.Now = 12300 * time.Millisecond
+			_, effects = maintenance.Step(s, tick)
+			c.Assert(slices.Contains(orders(effects), "a-1"), qt.IsFalse)
+		})
+	}
+}
--- a/internal/decision/maintenance/step.go
+++ b/internal/decision/maintenance/step.go
@@ -176,6 +176,12 @@
 			s = s.withDone(wave.wave, m.Instance)
 		}
 		return s, []Effect{Note{Level: slog.LevelWarn, Event: "instance.rejected", Attrs: attrs}}
+	case errors.Is(m.Err, port.ErrInstanceNotUp) && op.inDoubt: // the list may not show yet that it was carried out
+		op.stage, op.since = inProgress, m.Now
+		return s.withOperation(m.Instance, op), []Effect{Note{Level: slog.LevelInfo, Event: "instance.away", Attrs: attrs}}
+	case errors.Is(m.Err, port.ErrRefused) && op.inDoubt: // repeated at the next Tick
+		op.stage, op.since = unanswered, m.Now
+		return s.withOperation(m.Instance, op), []Effect{Note{Level: slog.LevelInfo, Event: "instance.refused", Attrs: attrs}}
 	case errors.Is(m.Err, port.ErrInstanceNotUp), errors.Is(m.Err, port.ErrRefused):
 		return s.withoutOperation(m.Instance), []Effect{Note{Level: slog.LevelInfo, Event: "instance.refused", Attrs: attrs}}
 	default:
