Count an instance as unavailable while a list lacks it

A wave could have one instance more down than it allows, after a single list without an instance that is down: lists leave out invalid entries, and an instance may change between two pages of a list. Its operation was dropped at once.

TestUnlistedInstanceStaysCounted failed before and passes now.

--- a/internal/decision/maintenance/confirm_test.go
+++ b/internal/decision/maintenance/confirm_test.go
@@ -131,3 +131,20 @@
 		})
 	}
 }
+
+// Guards against one more unavailable instance than a wave allows when a list lacks an instance that is down, because its
+// entry is invalid or it changed between two pages.
+func TestUnlistedInstanceStaysCounted(t *testing.T) {
+	c := qt.New(t)
+	s := vacated(c, 2)
+	tick := tickAt(12100*time.Millisecond, 2)
+	tick.Directory = wave(1, "a-0", "a-1")
+	s, _ = maintenance.Step(s, tick)
+	s, effects := maintenance.Step(s, maintenance.ConfirmResult{Now: 12100 * time.Millisecond, Sent: 12100 * time.Millisecond})
+	c.Assert(orders(effects), qt.DeepEquals, []string{"a-0"})
+	s, effects = maintenance.Step(s, maintenance.OrderResult{Now: 12200 * time.Millisecond, Instance: "a-0"})
+	c.Assert(orders(effects), qt.HasLen, 0)
+	tick.Now, tick.Instances = 12300*time.Millisecond, tick.Instances[1:]
+	_, effects = maintenance.Step(s, tick)
+	c.Assert(orders(effects), qt.HasLen, 0)
+}
--- a/internal/decision/maintenance/state.go
+++ b/internal/decision/maintenance/state.go
@@ -53,6 +53,7 @@
 	emptyExecutor  string        // executor of the instance when it was last found empty
 	emptyUntil     time.Duration // until when that executor takes no tasks, 0 if it was not found empty
 	inDoubt        bool          // an order got no answer
+	unlistedSince  time.Duration // since when the list lacks the instance, 0 if it is listed
 }
 
 // State holds the fleet as its owner sees it, and the operations in progress. It is immutable.
--- a/internal/decision/maintenance/step.go
+++ b/internal/decision/maintenance/step.go
@@ -80,15 +80,30 @@
 	s.executorSince, s.listedAt = executorSince, requestedAt
 	for name, op := range s.operations {
 		i, ok := s.instances[name]
-		returned := ok && i.State == site.InstanceUp && (i.Executor != op.executorBefore || i.Executor == "")
-		neverLeft := ok && i.State == site.InstanceUp && s.now-op.since > departureTimeout
-		if op.stage == inProgress && (returned && s.now-op.since > time.Second || neverLeft || !ok) {
+		if ok == (op.unlistedSince != 0) {
+			op.unlistedSince = 0
+			if !ok {
+				op.unlistedSince = s.now
+			}
+			s = s.withOperation(name, op)
+		}
+		if op.stage == inProgress && op.hasEnded(i, s.now) {
 			s = s.withoutOperation(name)
 		}
 	}
 	return s
 }
 
+// hasEnded reports whether an operation in progress has ended, given the instance if it is listed.
+func (op operation) hasEnded(i site.Instance, now time.Duration) bool {
+	if op.unlistedSince != 0 {
+		return now-op.unlistedSince > missingTimeout
+	}
+	returned := i.Executor != op.executorBefore || i.Executor == ""
+	neverLeft := now-op.since > departureTimeout
+	return i.State == site.InstanceUp && (returned && now-op.since > time.Second || neverLeft)
+}
+
 // vacateEffects requests that the executors of all instances with an operation be emptied, or kept empty. While a
 // confirmation is overdue, only those are kept empty whose order may have been carried out.
 func (s State) vacateEffects(d cluster.Directory) []Effect {
