Keep driving the fleet while the progress of a wave is stored

While the store left the report of a wave's progress unanswered, the owner of the fleet polled, moved and maintained nothing, and logged no fleet.unconfirmed: its loop wrote the report itself and waited until it was stored. Reports are now written by a goroutine of their own, joined by a ring. A report that the ring refuses is made again at the next poll.

This was safe to change only after orders needed a confirmation: the wait had also kept an owner that was cut off from ordering more than a few instances of a wave.

The stand-in for the store can hold the changes of a key prefix for it.

--- a/internal/link/pool/fleet_owner.go
+++ b/internal/link/pool/fleet_owner.go
@@ -30,7 +30,8 @@
 	ownerCallTimeout    = 200 * time.Millisecond  // for one call to a pool owner
 	vacateDuration      = 1200 * time.Millisecond // time that a pool owner keeps executors empty after each call
 	vacateMargin        = 700 * time.Millisecond  // part of vacateDuration reserved for the order to arrive
-	resultCapacity      = 64                      // queued results of orders and confirmations
+	resultCapacity      = 64                      // queued results of orders, confirmations and reports
+	reportCapacity      = 16                      // queued reports of waves; one that is refused is made again
 )
 
 const prefixWave = "teaselloft/wave/" // key prefix of the instances of a wave that have had their maintenance
@@ -38,19 +39,19 @@
 // fleetOwner runs the duty that moves and maintains instances.
 type fleetOwner struct {
 	ownership
-	link         *link
-	directory    port.Directory
-	instances    port.Instances
-	state        atomic.Pointer[maintenance.State]
-	writer       writer
-	commitNumber uint64
-	confirms     *ring.Ring[maintenance.Confirm]
-	confirmer    writer // used only by confirmLoop
-	results      *ring.Ring[maintenance.Message]
-	context      context.Context // of run
-	cancel       context.CancelFunc
-	done         chan struct{}     // closed when run returns
-	lastErrors   map[string]string // last error of each call, so that a repeated error is logged once
+	link       *link
+	directory  port.Directory
+	instances  port.Instances
+	state      atomic.Pointer[maintenance.State]
+	reports    *ring.Ring[maintenance.ReportWave]
+	reporter   writer // used only by reportLoop
+	confirms   *ring.Ring[maintenance.Confirm]
+	confirmer  writer // used only by confirmLoop
+	results    *ring.Ring[maintenance.Message]
+	context    context.Context // of run
+	cancel     context.CancelFunc
+	done       chan struct{}     // closed when run returns
+	lastErrors map[string]string // last error of each call, so that a repeated error is logged once
 }
 
 // takeOverFleet takes the fleet over and reads which instances have had their maintenance. The takeover is bounded by
@@ -83,7 +84,8 @@
 	}
 	f := &fleetOwner{
 		ownership: own, link: l, directory: directory, instances: instances, lastErrors: map[string]string{}, done: make(chan struct{}),
-		writer: writers[0], confirmer: writers[1],
+		reporter: writers[0], confirmer: writers[1],
+		reports:  ring.New[maintenance.ReportWave]("fleet.reports", reportCapacity, ring.Refuse, l.host.Metrics),
 		confirms: ring.New[maintenance.Confirm]("fleet.confirms", 1, ring.Block, l.host.Metrics), // one is pending at a time
 		results:  ring.New[maintenance.Message]("fleet.outcomes", resultCapacity, ring.Block, l.host.Metrics),
 	}
@@ -111,6 +113,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { f.confirmLoop(ctx) })
+	wg.Go(func() { f.reportLoop(ctx) })
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -218,7 +221,9 @@
 				return // the duty is stopped
 			}
 		case maintenance.ReportWave:
-			f.reportWave(ctx, e)
+			if err := f.reports.Push(ctx, e); err != nil {
+				f.step(ctx, maintenance.ReportFailed{Wave: e.Wave})
+			}
 		case maintenance.StepDown:
 			f.link.stepDown(f, "an instance has seen a higher fencing token", "instance", e.Instance)
 		case maintenance.Note:
@@ -282,23 +287,33 @@
 	}
 }
 
+// reportLoop stores the progress of waves.
+func (f *fleetOwner) reportLoop(ctx context.Context) {
+	for number := uint64(1); ; number++ {
+		e, err := f.reports.Pull(ctx)
+		if err != nil {
+			return
+		}
+		err = f.reportWave(ctx, number, e)
+		switch {
+		case errors.Is(err, errSuperseded):
+			f.link.stepDown(f, err.Error())
+			return
+		case err != nil && ctx.Err() == nil:
+			f.link.log.Warn("storing the progress of a wave failed", "event", "fleet.report", "wave", e.Wave, "error", err)
+			_ = f.results.PushWait(ctx, maintenance.ReportFailed{Wave: e.Wave}) // fails only when the duty is stopped
+		}
+	}
+}
+
 // reportWave stores the progress of a wave.
-func (f *fleetOwner) reportWave(ctx context.Context, e maintenance.ReportWave) {
+func (f *fleetOwner) reportWave(ctx context.Context, number uint64, e maintenance.ReportWave) error {
 	codec, ok := kernel.Use[port.SiteCodec](f.link.host)
 	if !ok {
-		return
+		return nil
 	}
-	f.commitNumber++
-	c := schedule.Commit{Number: f.commitNumber, Writes: []port.Write{
+	return f.reporter.apply(ctx, schedule.Commit{Number: number, Writes: []port.Write{
 		codec.WaveStatus(e.Wave, e.Completed),
 		{Key: fmt.Sprintf("%s%d", prefixWave, e.Wave), Value: job.Encode(e.Done)},
-	}}
-	err := f.writer.apply(ctx, c, f.link.log, func() {})
-	switch {
-	case errors.Is(err, errSuperseded):
-		f.link.stepDown(f, err.Error())
-	case err != nil && ctx.Err() == nil:
-		f.link.log.Warn("storing the progress of a wave failed", "event", "fleet.report", "wave", e.Wave, "error", err)
-		f.step(ctx, maintenance.ReportFailed{Wave: e.Wave})
-	}
+	}}, f.link.log, func() {})
 }
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -24,6 +24,7 @@
 	applyDelay time.Duration // delay after which an unanswered change is applied if its condition still holds
 	loseCount  int           // number of answers to changes still to be lost
 	losePrefix string        // lose only answers to changes that write a key with this prefix
+	holdPrefix string        // leave changes that write a key with this prefix unanswered, unless it is ""
 	writes     int
 }
 
@@ -107,6 +108,13 @@
 	s.loseCount, s.applyDelay, s.losePrefix = n, 0, prefix
 }
 
+// Hold makes the store neither apply nor answer changes that write a key with the given prefix. With "", it holds none.
+func (s *Store) Hold(prefix string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.holdPrefix = prefix
+}
+
 // DropHistory compacts the history, so that watches from an earlier revision get 410 and must list again.
 func (s *Store) DropHistory() {
 	s.mutex.Lock()
@@ -253,6 +261,11 @@
 		return
 	}
 	s.mutex.Lock()
+	if s.holdPrefix != "" && c.writes(s.holdPrefix) {
+		s.mutex.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	if s.loseCount > 0 && s.applyDelay > 0 {
 		s.loseCount--
 		time.AfterFunc(s.applyDelay, func() {
@@ -265,7 +278,7 @@
 		return
 	}
 	status, answer := s.apply(c)
-	lost := s.loseCount > 0 && status == http.StatusOK && slices.ContainsFunc(c.Write, func(i item) bool { return strings.HasPrefix(i.Key, s.losePrefix) })
+	lost := s.loseCount > 0 && status == http.StatusOK && c.writes(s.losePrefix)
 	if lost {
 		s.loseCount--
 	}
@@ -277,6 +290,11 @@
 	reply(w, status, answer)
 }
 
+// writes reports whether the change writes a key with the given prefix.
+func (c change) writes(prefix string) bool {
+	return slices.ContainsFunc(c.Write, func(i item) bool { return strings.HasPrefix(i.Key, prefix) })
+}
+
 func (s *Store) apply(c change) (int, any) {
 	current := []item{}
 	holds := true
