Keep newer changes when a list of the executors is applied late

A daemon that took over a second pool could lose sight of an executor, and see one again that was gone. It lists the executors while the watch for its first pool goes on. A list that was answered after the watch had returned newer changes undid them: a new executor stayed unknown until it wrote its entry again, about a second later, and a removed one stayed in the directory until the next list. Changes that a watch returns during a list are now applied again after it.

--- a/internal/link/directory/link.go
+++ b/internal/link/directory/link.go
@@ -120,8 +120,11 @@
 	}
 }
 
-// list reads all items of a source. Items of the directory that the store no longer has are removed.
+// list reads all items of a source. Items of the directory that the store no longer has are removed. Changes that a watch
+// has returned meanwhile are applied again if they are newer than the list.
 func (l *link) list(ctx context.Context, store port.Store, s source) (int64, error) {
+	l.startList(s)
+	defer l.endList(s)
 	callCtx, cancel := context.WithTimeout(ctx, l.settings.ListTimeout.Value())
 	defer cancel()
 	items, revision, err := store.List(callCtx, s.prefix)
@@ -142,7 +145,7 @@
 				events = append(events, port.Event{Item: port.Item{Key: key}, Deleted: true})
 			}
 		}
-		return s.markSynced(s.apply(d, events))
+		return s.markSynced(s.apply(d, append(events, s.newer(s.list.changes)...)))
 	})
 	return revision, nil
 }
@@ -168,7 +171,11 @@
 		if ctx.Err() != nil {
 			return d // the source is no longer watched
 		}
-		return s.apply(d, s.newer(events))
+		newer := s.newer(events)
+		if s.list.open {
+			s.list.changes = append(s.list.changes, newer...)
+		}
+		return s.apply(d, newer)
 	})
 	if s.interval > 0 {
 		l.sleep(ctx, s.interval)
--- a/internal/link/directory/source.go
+++ b/internal/link/directory/source.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,14 @@
 	markSynced func(cluster.Directory) cluster.Directory               // records that the source has been listed
 	interval   time.Duration                                           // between two watches
 	listed     *atomic.Int64                                           // revision of the last list
+	list       *listState
+}
+
+// listState belongs to a list of a source that may run beside a watch of it.
+type listState struct {
+	running sync.Mutex // held during a list, so that each one is requested after the last one was applied
+	open    bool       // a list is requested and not applied; guarded by link.mutex, as is changes
+	changes []port.Event
 }
 
 // newer returns the changes after the last list. A watch that began before that list returns earlier ones, too.
@@ -29,11 +38,26 @@
 	return slices.DeleteFunc(events, func(e port.Event) bool { return e.Revision <= listed })
 }
 
+// startList begins to keep the changes that watches return, which are newer than the list may be.
+func (l *link) startList(s source) {
+	s.list.running.Lock()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	s.list.open = true
+}
+
+func (l *link) endList(s source) {
+	l.mutex.Lock()
+	s.list.open, s.list.changes = false, nil
+	l.mutex.Unlock()
+	s.list.running.Unlock()
+}
+
 // operatorSource returns the source of the configuration and the waves. Operators add and replace items but delete none.
 func (l *link) operatorSource() source {
 	codec := l.codec()
 	return source{
-		prefix: codec.OperatorPrefix(), listed: new(atomic.Int64),
+		prefix: codec.OperatorPrefix(), listed: new(atomic.Int64), list: new(listState),
 		apply: func(d cluster.Directory, events []port.Event) cluster.Directory {
 			for _, e := range events {
 				if !e.Deleted {
@@ -73,6 +97,7 @@
 	return source{
 		prefix:   codec.ExecutorPrefix(),
 		listed:   new(atomic.Int64),
+		list:     new(listState),
 		interval: l.settings.ExecutorWatchInterval.Value(),
 		apply: func(d cluster.Directory, events []port.Event) cluster.Directory {
 			put := make([]site.Executor, 0, len(events))
@@ -131,7 +156,7 @@
 // never deleted.
 func (l *link) clusterSource() source {
 	return source{
-		prefix: cluster.Prefix, listed: new(atomic.Int64),
+		prefix: cluster.Prefix, listed: new(atomic.Int64), list: new(listState),
 		apply: func(d cluster.Directory, events []port.Event) cluster.Directory {
 			var put []cluster.Member
 			var removed []string
