Report executors as empty only under a valid ownership

The move or maintenance that follows would end the tasks that the other owner has started there (AVAIL, work lost).

Without a valid ownership the owner now reports none as empty and asks for a confirmation, which takes one commit. So that instances of idle pools can move at once, an owner with executors but without work is confirmed every 3 s, too; its executors confirm it in between.

TestVacateNeedsValidOwnership failed before.

--- a/internal/decision/schedule/ownership.go
+++ b/internal/decision/schedule/ownership.go
@@ -18,9 +18,9 @@
 	// maxOutage is how long after the last commit the executors alone can confirm the ownership. It also bounds the wait
 	// of a next owner that reaches too few of them to end the quorum.
 	maxOutage = 15 * time.Second
-	// confirmationInterval is the time between two commits of an owner that has runs and nothing else to store.
+	// confirmationInterval is the time between two commits of an owner that has executors and nothing to store.
 	confirmationInterval = 3 * time.Second
-	// noQuorumInterval is the same while the executors do not confirm the ownership.
+	// noQuorumInterval is the same for an owner with runs or ready tasks while the executors do not confirm the ownership.
 	noQuorumInterval = 600 * time.Millisecond
 	// outageHeartbeatWait replaces longer waits while the store does not answer, so that two heartbeats of a large pool
 	// take less than confirmationAge.
@@ -146,10 +146,10 @@
 		}
 		runs += len(e.runs)
 	}
+	age := s.now - s.confirmedAt
 	if runs == 0 && s.ready.Len() == 0 {
-		return false
+		return age > confirmationInterval && s.executors.Len() > 0 // an instance may be wanted elsewhere
 	}
-	age := s.now - s.confirmedAt
 	return age > confirmationInterval || age > noQuorumInterval && s.quorumAt()+confirmationAge < s.now
 }
 
--- a/internal/decision/schedule/vacate.go
+++ b/internal/decision/schedule/vacate.go
@@ -15,9 +15,12 @@
 // sheets.
 const minReadyTime = time.Second
 
-// handleVacate closes executors to new tasks, evicts their runs as far as allowed and answers which are empty.
+// handleVacate closes executors to new tasks, evicts their runs as far as allowed and answers which are empty. Without a
+// valid ownership none is certainly empty, because another owner may have started tasks on it.
 func (t *transition) handleVacate(m Vacate) {
 	var empty []string
+	owns := t.s.owns()
+	t.s.confirmationDue = t.s.confirmationDue || !owns
 	for _, id := range m.Executors {
 		e, ok := t.s.executor(id)
 		if !ok {
@@ -29,7 +32,7 @@
 		}
 		e.vacateUntil = m.Until
 		t.s = t.s.withExecutor(e)
-		if len(e.runs) == 0 && e.open && e.failingSince == 0 {
+		if len(e.runs) == 0 && e.open && e.failingSince == 0 && owns {
 			empty = append(empty, id)
 			continue
 		}
--- a/internal/decision/schedule/vacate_test.go
+++ b/internal/decision/schedule/vacate_test.go
@@ -52,3 +52,33 @@
 	heartbeat()
 	c.Assert(stops(), qt.Equals, 1)
 }
+
+// Guards against an owner that another one may have replaced and that reports executors as empty. The order that follows
+// would end the tasks that the other owner has started there.
+func TestVacateNeedsValidOwnership(t *testing.T) {
+	c := qt.New(t)
+	p := newSingleExecutor(&site.Config{Version: 1})
+	vacated := func() []string {
+		for _, e := range p.step(schedule.Vacate{Token: 1, Now: p.now, Until: p.now + time.Second, Executors: []string{"x"}}) {
+			if a, ok := e.(schedule.Answer); ok {
+				return a.Empty
+			}
+		}
+		return nil
+	}
+	confirm := func() {
+		p.step(schedule.Tick{Now: p.now, Unix: 1000})
+		for _, x := range commits(p.step(schedule.RunCycle{Now: p.now})) {
+			p.step(schedule.CommitResult{Now: p.now, Number: x.Number})
+		}
+	}
+	p.heartbeat()
+	confirm()
+	c.Assert(vacated(), qt.DeepEquals, []string{"x"})
+	p.now += 3 * time.Second
+	c.Assert(vacated(), qt.HasLen, 0)
+	for _, x := range commits(p.step(schedule.RunCycle{Now: p.now})) {
+		p.step(schedule.CommitResult{Now: p.now, Number: x.Number})
+	}
+	c.Assert(vacated(), qt.DeepEquals, []string{"x"})
+}
