Keep adopted runs for the length of a former owner's lease

Cause: an owner whose takeover took longer than 1.8 s isn't valid yet when the executors answer it, so its next heartbeat extends no lease. The lease then counted as expired long ago, and the first missed heartbeat made the runs lapse.

Change: at the first answer the lease counts as extended by a whole lease, which a former owner may have done just before.

TestAdoptedRunsOutlastSilence failed before.

--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -138,6 +138,8 @@
 	e.failingSince, e.clock, e.clockReadAt, e.acceptedAt = 0, report.Clock, m.Now, m.Sent
 	if !e.open {
 		e.open, e.openedAt = true, m.Now
+		// The former owner may have extended the lease until just before.
+		e.leaseExpires = max(e.leaseExpires, report.Clock+(t.s.policy.Lease+leaseMargin).Milliseconds())
 		t.s.lastOpenedAt, t.s.usedChanged = m.Now, true
 		t.s = t.s.withFormerAnswer(e.info.ID)
 		t.emit(note(slog.LevelInfo, "executor.open", "executor", e.info.ID, "active", len(report.Runs), "ends", len(report.Ended)))
--- a/internal/decision/schedule/simulation_test.go
+++ b/internal/decision/schedule/simulation_test.go
@@ -37,12 +37,31 @@
 	splitOwner        *owner          // cut off from the store and from the executors outside its side; nil without a split
 	splitExecutors    map[string]bool // executors on the side of splitOwner
 	onHeal            []func()        // calls to the store that got no answer during the split
+	slowTakeover      time.Duration   // time between the write of an epoch and the recovery of its owner
+	cuts              map[path]cut    // between owners and executors
+	storeCuts         map[*owner]cut
+	onStoreHeal       map[*owner][]func() // calls to the store that got no answer
 	lastStart         map[job.Task]time.Duration
 	acknowledgedTasks map[job.Task]bool
 	failedRuns        map[job.Task]map[uint64]bool
 	starts            int
 }
 
+// path is the connection of an owner to an executor.
+type path struct {
+	owner    *owner
+	executor string
+}
+
+// cut says which messages are lost.
+type cut int
+
+const (
+	cutNothing cut = iota
+	cutRequests
+	cutAnswers
+)
+
 // event is a function that the simulation calls at a given time.
 type event struct {
 	at     time.Duration
@@ -101,6 +120,7 @@
 
 func newSimulation(t *rapid.T, executors int) *simulation {
 	sim := &simulation{
+		cuts: map[path]cut{}, storeCuts: map[*owner]cut{}, onStoreHeal: map[*owner][]func(){},
 		t: t, now: time.Second, executors: map[string]*executor{}, records: map[string][]byte{}, jobs: map[job.ID]*trackedJob{},
 		acknowledgedTasks: map[job.Task]bool{}, failedRuns: map[job.Task]map[uint64]bool{}, lastStart: map[job.Task]time.Duration{},
 		config: &site.Config{
@@ -181,14 +201,19 @@
 
 // reaches reports whether an owner can call an executor.
 func (sim *simulation) reaches(o *owner, id string) bool {
-	return sim.splitOwner == nil || (o == sim.splitOwner) == sim.splitExecutors[id]
+	return sim.cuts[path{o, id}] != cutRequests && (sim.splitOwner == nil || (o == sim.splitOwner) == sim.splitExecutors[id])
+}
+
+// answers reports whether an owner gets the answers of an executor.
+func (sim *simulation) answers(o *owner, id string) bool {
+	return sim.cuts[path{o, id}] == cutNothing && sim.reaches(o, id)
 }
 
 // takeOver starts a new owner. If keep is set, the former owners go on until a call tells them that they are fenced.
 // Otherwise they have ended, but for the one that is cut off.
 func (sim *simulation) takeOver(keep bool) {
 	for _, o := range sim.owners {
-		o.alive = o.alive && (keep || o == sim.splitOwner)
+		o.alive = o.alive && (keep || o == sim.splitOwner || sim.storeCuts[o] != cutNothing)
 	}
 	former := sim.epoch
 	sim.epoch++
@@ -220,7 +245,7 @@
 	}
 	o := &owner{alive: true}
 	sim.owners = append(sim.owners, o)
-	s := schedule.New(pool, sim.epoch, schedule.DefaultPolicy(6*time.Second), sim.now, sim.unix()).WithConfirmation(sim.now)
+	s := schedule.New(pool, sim.epoch, schedule.DefaultPolicy(6*time.Second), sim.now, sim.unix()).WithConfirmation(sim.now - sim.slowTakeover)
 	state, effects := schedule.Recover(s, sim.config, stored)
 	o.state = state
 	sim.perform(o, effects)
@@ -234,7 +259,7 @@
 		if !o.alive {
 			return
 		}
-		if o != sim.splitOwner {
+		if o != sim.splitOwner && sim.storeCuts[o] == cutNothing {
 			sim.deliver(o, schedule.ExecutorsListed{Now: sim.now, Executors: sim.listedExecutors()})
 		}
 		sim.deliver(o, schedule.Tick{Now: sim.now, Unix: sim.unix()})
@@ -299,6 +324,21 @@
 		sim.after(300*time.Millisecond, func() { sim.deliver(o, schedule.CommitStalled{Now: sim.now, Number: c.Number}) })
 		return
 	}
+	if missing := sim.storeCuts[o]; missing != cutNothing {
+		if missing == cutAnswers && o.state.Epoch == sim.epoch && !sim.storeRefuses {
+			for _, x := range c.Writes {
+				sim.records[x.Key] = x.Value
+			}
+			for _, key := range c.Deletes {
+				delete(sim.records, key)
+			}
+			sim.onStoreHeal[o] = append(sim.onStoreHeal[o], func() { sim.deliver(o, schedule.CommitResult{Now: sim.now, Number: c.Number}) })
+		} else {
+			sim.onStoreHeal[o] = append(sim.onStoreHeal[o], func() { sim.commit(o, c) })
+		}
+		sim.after(300*time.Millisecond, func() { sim.deliver(o, schedule.CommitStalled{Now: sim.now, Number: c.Number}) })
+		return
+	}
 	if o.state.Epoch != sim.epoch {
 		o.alive = false // another owner has taken over the write fence
 		return
@@ -349,7 +389,12 @@
 			reply(600*time.Millisecond, unknownOutcome)
 			return
 		}
-		reply(time.Millisecond, do(x))
+		err := do(x)
+		if !sim.answers(o, id) {
+			reply(600*time.Millisecond, unknownOutcome)
+			return
+		}
+		reply(time.Millisecond, err)
 	})
 }
 
@@ -496,6 +541,10 @@
 	}
 	sim.endDueRuns(x)
 	if e.Heartbeat.FencingToken < x.fence {
+		if !sim.answers(o, e.Executor) {
+			reply(400*time.Millisecond, port.ExecutorReport{}, errSilent)
+			return
+		}
 		reply(time.Millisecond, port.ExecutorReport{}, port.ErrFenced)
 		return
 	}
@@ -503,7 +552,7 @@
 	x.expires = max(x.expires, e.Heartbeat.Expires)
 	sim.acknowledge(x, e.Heartbeat.Ack)
 	sim.answerHeartbeat(x, sim.now+e.Heartbeat.Wait, x.info.Born, func(report port.ExecutorReport, err error) {
-		if !sim.reaches(o, e.Executor) {
+		if !sim.answers(o, e.Executor) {
 			report, err = port.ExecutorReport{}, errSilent
 		}
 		reply(time.Millisecond, report, err)
--- /dev/null
+++ b/internal/decision/schedule/takeover_test.go
@@ -0,0 +1,56 @@
+package schedule_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"teaselloft/internal/decision/schedule"
+	"teaselloft/internal/model/job"
+	"teaselloft/internal/model/port"
+	"teaselloft/internal/model/site"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against runs of a former owner that count as lapsed as soon as their executor falls silent, because the new owner
+// had no proof of its ownership when the executor answered it first, and has extended no lease itself.
+func TestAdoptedRunsOutlastSilence(t *testing.T) {
+	c := qt.New(t)
+	sub := job.Submission{ID: "0000000000000001", Queue: "q", Spec: "s", Steps: []job.Step{{Count: 1, Need: job.Resources{CPU: 1000}, LongRunning: true}}}
+	executor := func(id string) site.Executor {
+		return site.Executor{ID: id, Address: id, Pool: pool, Capacity: job.Resources{CPU: 8000}}
+	}
+	p := &singleExecutor{now: 10 * time.Second}
+	config := &site.Config{Version: 1, Queues: []site.Queue{{Name: "q", Pool: pool, Attempts: 3, Stretch: 2}}}
+	// The reads of the takeover took 2 s after the write of the epoch was sent.
+	p.state = schedule.New(pool, 2, schedule.DefaultPolicy(6*time.Second), p.now, 1000).WithConfirmation(p.now - 2*time.Second)
+	p.state, _ = schedule.Recover(p.state, config, schedule.Stored{
+		Jobs: []schedule.StoredJob{{ID: sub.ID, Record: job.Record{Submission: &sub}}}, Listed: []site.Executor{executor("x"), executor("y")},
+	})
+	answer := func(id string, err error, runs ...port.ActiveRun) []schedule.Effect {
+		return p.step(schedule.HeartbeatResult{Executor: id, Sent: p.now, Now: p.now, Err: err, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Runs: runs}})
+	}
+	p.now += 10 * time.Millisecond
+	answer("y", nil)
+	answer("x", nil, port.ActiveRun{Task: job.Task{Job: sub.ID}, Run: 1, Percent: 100}) // its lease may last 5 s from now
+	adopted := p.now
+	for p.now < adopted+4*time.Second {
+		p.now += 50 * time.Millisecond
+		answer("x", errors.New("no answer"))
+		if p.now > adopted+time.Second {
+			answer("y", nil)
+		}
+		effects := append(p.step(schedule.Tick{Now: p.now, Unix: 1000}), p.step(schedule.RunCycle{Now: p.now})...)
+		for i := 0; i < len(effects); i++ {
+			switch e := effects[i].(type) {
+			case schedule.Commit:
+				p.now += 5 * time.Millisecond
+				effects = append(effects, p.step(schedule.CommitResult{Now: p.now, Number: e.Number})...)
+				effects = append(effects, p.step(schedule.RunCycle{Now: p.now})...)
+			case schedule.StartRun:
+				c.Fatalf("run %d starts on %s %v after x has listed run 1", e.Start.Run, e.Executor, p.now-adopted)
+			}
+		}
+	}
+}
