Requeue the tasks of a restarted executor only after a confirmed write

Cause: a restart proves that a run is gone, not that nobody has noted its end. While the former owner was cut off from the executor, the next owner had acknowledged the end there; the executor then restarted in reach of the former owner, which concluded that the task had to run again.

Change: such tasks wait until a write has succeeded that was sent after the restart was seen, as the runs of silent executors already do.

--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -136,12 +136,26 @@
 	if p.used != nil {
 		t.s.recorded = p.used
 	}
+	t.requeueVanished()
 	for _, x := range p.jobs {
 		t.markStored(x)
 	}
 	t.acknowledgeEndedRuns()
 }
 
+// requeueVanished requeues the tasks whose runs vanished before the ownership was last confirmed.
+func (t *transition) requeueVanished() {
+	vanished := t.s.vanished
+	t.s.vanished = nil
+	for _, r := range vanished {
+		if r.at < t.s.confirmedAt {
+			t.requeue(r.task, r.run, "", 0)
+		} else {
+			t.s.vanished = append(t.s.vanished, r)
+		}
+	}
+}
+
 // answer sends the same answer to several requests.
 func (t *transition) answer(err error, tokens ...[]uint64) {
 	for _, token := range slices.Concat(tokens...) {
--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -60,10 +60,13 @@
 	}
 }
 
-// newIncarnation returns the state of an executor that has restarted; the runs of the former incarnation are gone.
+// newIncarnation returns the state of an executor that has restarted. The runs of the former incarnation have ended, and
+// another owner may have acknowledged an end as done, so that their tasks wait for a confirmation of the ownership.
 func (t *transition) newIncarnation(e executorState, born int64) executorState {
 	t.emit(note(slog.LevelInfo, "executor.reborn", "executor", e.info.ID, "born", born, "before", e.born, "runs", len(e.runs)))
-	e = t.requeueAll(e)
+	for _, r := range e.runs {
+		t.s.vanished = append(slices.Clip(t.s.vanished), vanishedRun{task: r.task, run: r.run, at: t.s.now})
+	}
 	t.s.usedChanged = true
 	return executorState{info: e.info, listed: e.listed, born: born, heartbeatInFlight: e.heartbeatInFlight}
 }
--- a/internal/decision/schedule/ownership.go
+++ b/internal/decision/schedule/ownership.go
@@ -138,6 +138,9 @@
 // needsConfirmation reports whether a commit has to confirm the ownership, so that tasks can start, leases can be
 // extended, or the runs of a silent executor can count as lapsed.
 func (s State) needsConfirmation() bool {
+	if len(s.vanished) > 0 {
+		return true
+	}
 	runs := 0
 	for i := s.executors.Iterator(); !i.Done(); {
 		_, e, _ := i.Next()
--- a/internal/decision/schedule/split_test.go
+++ b/internal/decision/schedule/split_test.go
@@ -104,3 +104,24 @@
 func TestSplitOwnerLeavesUnreachableRuns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { splitWithLongTask(t, "x1") })
 }
+
+// Guards against an owner that is cut off from the store, has a quorum of the executors, and starts a task again because the
+// executor has restarted on which the next owner has noted its end.
+func TestRestartedExecutorMayHaveEndedRunsElsewhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t, 4)
+		// The task fills an executor, so that each of four runs elsewhere.
+		sim.submit(sim.current(), job.Submission{ID: "0000000000000001", Queue: "q", Spec: "s", Steps: []job.Step{{Count: 4, Need: job.Resources{CPU: 2500}, Estimate: time.Second}}})
+		sim.advance(time.Duration(rapid.IntRange(100, 1500).Draw(t, "started")) * time.Millisecond)
+		side := map[string]bool{"x0": true, "x1": true, "x2": true}
+		sim.split(side)
+		sim.advance(time.Duration(rapid.IntRange(100, 1500).Draw(t, "takeover")) * time.Millisecond)
+		sim.takeOver(true)
+		sim.advance(time.Duration(rapid.IntRange(1500, 4000).Draw(t, "noted")) * time.Millisecond)
+		sim.crash("x3")
+		side["x3"] = true // the new incarnation is in reach of the former owner
+		sim.advance(time.Duration(rapid.IntRange(3000, 9000).Draw(t, "restarted")) * time.Millisecond)
+		sim.heal()
+		sim.advance(15 * time.Second)
+	})
+}
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -37,6 +37,7 @@
 	unconfirmed        bool                                 // a commit has had no result for unconfirmedAfter
 	recorded           usedSet                              // the executors in the stored record
 	former             formerOwner
+	vanished           []vanishedRun   // whose tasks wait for a commit
 	usedChanged        bool            // the stored record of the used executors is out of date
 	unsettled          map[string]bool // executors that may have runs of the former owner and have not answered yet
 	settleDeadline     time.Duration   // by then the leases of those executors have expired
@@ -56,6 +57,13 @@
 	used    usedSet // the executors in the record that it contains; nil if it contains none
 }
 
+// vanishedRun is a run that has ended without a report, because its executor has started again.
+type vanishedRun struct {
+	task job.Task
+	run  uint64
+	at   time.Duration // when that was noticed
+}
+
 // pendingJob is a job in a pending commit, as it was when the commit was sent.
 type pendingJob struct {
 	id           job.ID
