Keep the runs of an executor whose entry shows another address

Change: the same start means the same incarnation. The owner connects to the new address and keeps the runs.

TestChangedAddressKeepsRuns failed before.

--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -40,6 +40,12 @@
 }
 
 func (t *transition) updateExecutor(e executorState, x site.Executor) {
+	if x.Born != 0 && x.Born == e.born && x.Address != e.info.Address {
+		t.emit(Connect{Executor: x})
+		e.info, e.listed = x, true
+		t.sendHeartbeat(e, 0, 0, false)
+		return
+	}
 	if x.Born != 0 && e.born != 0 && x.Born != e.born || x.Address != e.info.Address {
 		if x.Born != 0 && e.born != 0 && x.Born < e.born {
 			return // the list is older than the executor's own report
--- a/internal/decision/schedule/split_test.go
+++ b/internal/decision/schedule/split_test.go
@@ -125,3 +125,23 @@
 		sim.advance(15 * time.Second)
 	})
 }
+
+// Guards against runs that count as ended because the entry of their executor has another address, although the executor
+// has not started again.
+func TestChangedAddressKeepsRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t, 2)
+		sim.submit(sim.current(), job.Submission{ID: "0000000000000001", Queue: "q", Spec: "s", Steps: []job.Step{{Count: 1, Need: job.Resources{CPU: 3000}, LongRunning: true}}})
+		sim.advance(2 * time.Second)
+		starts := sim.starts
+		for _, x := range sim.executors {
+			if len(x.runs) > 0 {
+				x.info.Address = "other"
+			}
+		}
+		sim.advance(10 * time.Second)
+		if sim.starts != starts {
+			t.Fatalf("%d tasks have started again", sim.starts-starts)
+		}
+	})
+}
