Keep the mark of a damaged record of used executors across takeovers

Cause: the first owner wrote a record of its own without the mark that some may be missing. Change: the record says so until that owner has waited.

TestLostRecordOutlastsSecondTakeover failed before.

--- a/internal/decision/schedule/ownership.go
+++ b/internal/decision/schedule/ownership.go
@@ -47,7 +47,7 @@
 // quorum until half of the executors that it used have answered this owner.
 func (s State) withFormerOwner(stored Stored) State {
 	s.settleDeadline = s.now + s.policy.waitForFormer()
-	waiting := stored.Used.Waiting || stored.UsedLost
+	waiting := stored.Used.Waiting || stored.isPartial()
 	if !waiting && (stored.FormerEnded || len(stored.Used.Executors) == 0) {
 		return s
 	}
@@ -159,7 +159,7 @@
 // usedExecutors returns the record that names all executors which may have runs, and the same as a set. It contains every
 // executor before that is usable, because usable requires that the record is stored.
 func (s State) usedExecutors() (cluster.Used, usedSet) {
-	record, set := cluster.Used{Epoch: s.Epoch, Waiting: s.former.silent != nil}, usedSet{}
+	record, set := cluster.Used{Epoch: s.Epoch, Waiting: s.former.silent != nil, Partial: s.unsettled[unknownExecutor]}, usedSet{}
 	s.eachExecutor(func(e *executorState) {
 		if !e.open && len(e.runs) == 0 && !s.unsettled[e.info.ID] {
 			return
--- a/internal/decision/schedule/recover.go
+++ b/internal/decision/schedule/recover.go
@@ -28,6 +28,9 @@
 	FormerEnded bool
 }
 
+// isPartial reports whether the record of the used executors may lack some.
+func (s Stored) isPartial() bool { return s.UsedLost || s.Used.Partial }
+
 // unknownExecutor stands for the executors that an unreadable record may name. It never answers.
 const unknownExecutor = ""
 
@@ -44,7 +47,7 @@
 	for _, e := range executors {
 		t.s.unsettled[e.ID] = true
 	}
-	if stored.UsedLost {
+	if stored.isPartial() {
 		t.s.unsettled[unknownExecutor] = true
 	}
 	t.s = t.s.withFormerOwner(stored)
@@ -52,7 +55,7 @@
 	for _, u := range stored.Used.Executors {
 		t.s.recorded[u.ID] = 0
 	}
-	if stored.UsedLost {
+	if stored.isPartial() {
 		t.s.recorded[unknownExecutor] = 0
 	}
 	recovered := 0
--- a/internal/decision/schedule/takeover_test.go
+++ b/internal/decision/schedule/takeover_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"teaselloft/internal/decision/schedule"
+	"teaselloft/internal/model/cluster"
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/port"
 	"teaselloft/internal/model/site"
@@ -54,3 +55,45 @@
 		}
 	}
 }
+
+// Guards against an owner that forgets that executors may be unknown, because the owner before it found the record of the
+// used executors damaged and has replaced it.
+func TestLostRecordOutlastsSecondTakeover(t *testing.T) {
+	c := qt.New(t)
+	sub := job.Submission{ID: "0000000000000001", Queue: "q", Spec: "s", Steps: []job.Step{{Count: 1, Need: job.Resources{CPU: 1000}, LongRunning: true}}}
+	config := &site.Config{Version: 1, Queues: []site.Queue{{Name: "q", Pool: pool, Attempts: 3, Stretch: 2}}}
+	jobs := []schedule.StoredJob{{ID: sub.ID, Record: job.Record{Submission: &sub}}}
+	listed := []site.Executor{{ID: "x", Address: "x", Pool: pool, Capacity: job.Resources{CPU: 8000}}}
+	p := &singleExecutor{now: 10 * time.Second}
+	takeOver := func(epoch uint64, stored schedule.Stored) (started time.Duration, record cluster.Used) {
+		stored.Jobs, stored.Listed = jobs, listed
+		p.state = schedule.New(pool, epoch, schedule.DefaultPolicy(6*time.Second), p.now, 1000).WithConfirmation(p.now)
+		p.state, _ = schedule.Recover(p.state, config, stored)
+		begin := p.now
+		for p.now < begin+3*time.Second {
+			p.now += 50 * time.Millisecond
+			effects := p.heartbeat()
+			effects = append(effects, p.step(schedule.Tick{Now: p.now, Unix: 1000})...)
+			effects = append(effects, p.step(schedule.RunCycle{Now: p.now})...)
+			for _, e := range effects {
+				switch e := e.(type) {
+				case schedule.Commit:
+					for _, w := range e.Writes {
+						if w.Key == cluster.PrefixUsed+pool {
+							record, _ = job.Decode[cluster.Used](w.Value)
+						}
+					}
+					p.step(schedule.CommitResult{Now: p.now, Number: e.Number})
+				case schedule.StartRun:
+					return p.now - begin, record
+				}
+			}
+		}
+		return 0, record
+	}
+	started, record := takeOver(2, schedule.Stored{UsedLost: true})
+	c.Assert(started, qt.Equals, time.Duration(0))
+	c.Assert(record.Waiting, qt.IsTrue)
+	started, _ = takeOver(3, schedule.Stored{Used: record})
+	c.Assert(started, qt.Equals, time.Duration(0), qt.Commentf("the executors in the lost record may still run the task"))
+}
--- a/internal/model/cluster/record.go
+++ b/internal/model/cluster/record.go
@@ -64,6 +64,7 @@
 	Executors []UsedExecutor `cbor:"executors"`
 	Epoch     uint64         `cbor:"epoch,omitempty"`   // of the owner that wrote the record
 	Waiting   bool           `cbor:"waiting,omitempty"` // that owner waited for the executors of one before it
+	Partial   bool           `cbor:"partial,omitempty"` // that owner waited for executors that it could not name
 }
 
 // UsedExecutor is one incarnation of an executor.
