Confirm less often and warn only of runs that ran twice

An owner with nothing to store made about four commits a second while the store refused it, each of two or three calls. A refused commit without any record is now repeated after 0.5 s (TestRefusedConfirmationsAreDelayed failed before). A confirmation that is on its way isn't asked for again. run.repeated no longer reports an end that the former owner has stored (TestStoredEndIsNotRepeated failed before). The second heartbeat of a takeover waits 0.1 s if the ownership has to be confirmed before leases can be extended, since those of the former owner may be about to expire.

--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -52,6 +52,7 @@
 
 func (t *transition) commitChanges(lane int, changed []*jobState) {
 	t.s.lastCommit++
+	t.s.confirmationDue = false
 	p := pendingCommit{number: t.s.lastCommit, sent: t.s.now}
 	c := Commit{Lane: lane, Number: p.number}
 	if t.s.usedChanged && t.s.recordInFlight() == nil { // commits of different lanes may be applied in any order
@@ -81,7 +82,7 @@
 // record of the used executors is out of date, or the confirmation of the ownership is too old. A commit without records
 // of jobs is enough for each of them.
 func (s State) awaitsConfirmation() bool {
-	return s.usedChanged || s.lastOpenedAt != 0 && s.lastOpenedAt >= s.confirmedAt || s.confirmationDue
+	return s.usedChanged || s.now >= s.nextConfirmationAt && (s.lastOpenedAt != 0 && s.lastOpenedAt >= s.confirmedAt || s.confirmationDue)
 }
 
 // recordChanges returns the writes and deletions that bring the stored records of a job up to date.
@@ -106,8 +107,11 @@
 	}
 }
 
-// refusedWriteBackoff is the extra delay of the next commit after the store has refused a write.
-const refusedWriteBackoff = 100 * time.Millisecond
+// Extra delays of the next commit after the store has refused a write.
+const (
+	refusedWriteBackoff        = 100 * time.Millisecond
+	refusedConfirmationBackoff = 500 * time.Millisecond // of a commit without any record, which no caller waits for
+)
 
 func (t *transition) handleCommitResult(m CommitResult) {
 	lane := t.s.laneOf(m.Number)
@@ -125,6 +129,9 @@
 	}
 	if errors.Is(m.Err, port.ErrRefused) {
 		t.s.lastCommitResultAt = m.Now + refusedWriteBackoff
+		if len(p.jobs) == 0 && p.used == nil {
+			t.s.nextConfirmationAt = m.Now + refusedConfirmationBackoff
+		}
 		t.s.usedChanged = t.s.usedChanged || p.used != nil
 		for _, x := range p.jobs {
 			t.revert(x)
--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -183,9 +183,17 @@
 		t.s = t.s.withExecutor(e)
 		return
 	}
-	t.sendHeartbeat(e, t.s.heartbeatWait(), 0, false)
+	wait := t.s.heartbeatWait()
+	if e.openedAt == t.s.now && !t.s.owns() {
+		wait = min(wait, takeoverHeartbeatWait)
+	}
+	t.sendHeartbeat(e, wait, 0, false)
 }
 
+// takeoverHeartbeatWait is the wait of the second heartbeat to an executor if the ownership has to be confirmed before
+// leases can be extended. Those of the former owner may be about to expire.
+const takeoverHeartbeatWait = 100 * time.Millisecond
+
 // settle reduces the set of executors that may have runs of the former owner to those for which keep returns true. A nil
 // keep empties it. Once the set is empty, the tasks of recovered jobs may start.
 func (t *transition) settle(keep func(string) bool) {
@@ -231,7 +239,8 @@
 		level = slog.LevelDebug // the log line of the job reports it
 	}
 	t.emit(note(level, "run.ended", "task", end.Task.String(), "run", end.Run, "executor", id, "how", end.Outcome.String()))
-	if end.Outcome == job.OutcomeDone && ok && x.run != end.Run && x.phase != waiting {
+	// A task that is done by its stored progress has no run.
+	if end.Outcome == job.OutcomeDone && ok && x.run != 0 && x.run != end.Run && x.phase != waiting {
 		t.emit(note(slog.LevelWarn, "run.repeated", "task", end.Task.String(), "run", end.Run, "executor", id,
 			"phase", int(x.phase), "current", x.run, "on", x.executor))
 	}
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -34,6 +34,7 @@
 	lastOpenedAt       time.Duration                        // when an executor has last answered this owner for the first time
 	confirmedAt        time.Duration                        // when the last successful commit was sent, at which time this owner still owned the pool
 	confirmationDue    bool                                 // a commit has to confirm the ownership
+	nextConfirmationAt time.Duration                        // no commit without any record before
 	unconfirmed        bool                                 // a commit has had no result for unconfirmedAfter
 	recorded           usedSet                              // the executors in the stored record
 	former             formerOwner
--- a/internal/decision/schedule/takeover_test.go
+++ b/internal/decision/schedule/takeover_test.go
@@ -97,3 +97,46 @@
 	started, _ = takeOver(3, schedule.Stored{Used: record})
 	c.Assert(started, qt.Equals, time.Duration(0), qt.Commentf("the executors in the lost record may still run the task"))
 }
+
+// Guards against an owner that loads a store which refuses it: it has nothing to store, and commits again and again to
+// confirm its ownership.
+func TestRefusedConfirmationsAreDelayed(t *testing.T) {
+	c := qt.New(t)
+	sub := job.Submission{ID: "0000000000000001", Queue: "q", Spec: "s", Steps: []job.Step{{Count: 1, Need: job.Resources{CPU: 9000}}}} // fits nowhere
+	p := newSingleExecutor(&site.Config{Version: 1, Queues: []site.Queue{{Name: "q", Pool: pool, Attempts: 3}}}, sub)
+	commitsIn := func(length time.Duration, err error) (n int) {
+		for end := p.now + length; p.now < end; {
+			p.now += 50 * time.Millisecond
+			p.step(schedule.Tick{Now: p.now, Unix: 1000})
+			for _, x := range commits(p.step(schedule.RunCycle{Now: p.now})) {
+				n++
+				p.step(schedule.CommitResult{Now: p.now, Number: x.Number, Err: err})
+			}
+		}
+		return n
+	}
+	p.heartbeat()
+	commitsIn(time.Second, nil)
+	const perSecond = 2
+	c.Assert(commitsIn(10*time.Second, port.ErrRefused) <= 10*perSecond, qt.IsTrue)
+}
+
+// Guards against a warning that a task has run twice when an executor lists an end again that the former owner has stored.
+func TestStoredEndIsNotRepeated(t *testing.T) {
+	c := qt.New(t)
+	sub := job.Submission{ID: "0000000000000001", Queue: "q", Spec: "s", Steps: []job.Step{{Count: 2, Need: job.Resources{CPU: 1000}}}}
+	p := &singleExecutor{now: 10 * time.Second}
+	p.state = schedule.New(pool, 2, schedule.DefaultPolicy(6*time.Second), p.now, 1000)
+	p.state, _ = schedule.Recover(p.state, &site.Config{Version: 1}, schedule.Stored{
+		Jobs: []schedule.StoredJob{{
+			ID: sub.ID, Record: job.Record{Submission: &sub}, Progress: job.Progress{Steps: []job.StepProgress{{Done: []byte{1}}}},
+		}},
+		Listed: []site.Executor{{ID: "x", Address: "x", Pool: pool, Capacity: job.Resources{CPU: 8000}}},
+	})
+	report := port.ExecutorReport{Clock: 1, Ended: []port.EndedRun{{Number: 1, Task: job.Task{Job: sub.ID}, Run: 1, Outcome: job.OutcomeDone}}}
+	for _, e := range p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: report}) {
+		if n, ok := e.(schedule.Note); ok {
+			c.Check(n.Event, qt.Not(qt.Equals), "run.repeated")
+		}
+	}
+}
