Take runs that a cut-off list doesn't name for unknown, not ended

Cause: an executor lists 500 unacknowledged ends at a time. A run that had ended beyond these was listed neither as active nor as ended, and counted as gone.

Change: a report with 500 ends may be incomplete, so the absence of a run in it says nothing. The run keeps its room until an end is listed or a complete report lacks it.

--- a/internal/decision/schedule/reconcile.go
+++ b/internal/decision/schedule/reconcile.go
@@ -78,8 +78,8 @@
 	return r
 }
 
-// reconcileMissing handles a run that the executor does not list. It counts as gone only if the heartbeat was sent
-// after the last order about it was answered, or after its start must have expired.
+// reconcileMissing handles a run that the executor does not list. It counts as gone only if the report lists all ended
+// runs, and the heartbeat was sent after the last order about it was answered, or after its start must have expired.
 func (t *transition) reconcileMissing(e executorState, r runState, m HeartbeatResult) executorState {
 	gone := false
 	switch r.phase {
@@ -95,7 +95,7 @@
 		gone = m.Sent-r.since > limit
 	case waiting, done:
 	}
-	if !gone {
+	if !gone || m.Report.IsPartial() {
 		return e
 	}
 	t.emit(note(slog.LevelInfo, "run.gone", "task", r.task.String(), "run", r.run, "executor", e.info.ID, "phase", int(r.phase)))
--- a/internal/decision/schedule/simulation_test.go
+++ b/internal/decision/schedule/simulation_test.go
@@ -398,6 +398,9 @@
 	})
 }
 
+// maxListedEnds is the number of ends that an executor lists at a time, the oldest first.
+const maxListedEnds = 500
+
 // clockRate is the speed of the executors' clocks, within the 2% that they may be slow.
 const clockRate = 0.985
 
@@ -591,7 +594,7 @@
 		return
 	}
 	report := port.ExecutorReport{Clock: x.clock(sim.now), Born: x.info.Born}
-	for _, e := range x.ends {
+	for _, e := range x.ends[:min(len(x.ends), maxListedEnds)] {
 		report.Ended = append(report.Ended, e.EndedRun)
 	}
 	for task, r := range x.runs {
--- a/internal/model/port/executor.go
+++ b/internal/model/port/executor.go
@@ -76,6 +76,9 @@
 	Checkpoint string
 }
 
+// MaxListedEnds is the number of ended runs that an executor lists at a time, the oldest first.
+const MaxListedEnds = 500
+
 // ExecutorReport is an executor's answer to a heartbeat: its active runs, and the ended ones not acknowledged yet.
 type ExecutorReport struct {
 	Clock int64 // the executor's monotonic clock, in ms
@@ -84,6 +87,10 @@
 	Ended []EndedRun
 }
 
+// IsPartial reports whether the executor may have ended runs that are not listed. A run that the report doesn't name may
+// then have ended in any way.
+func (r ExecutorReport) IsPartial() bool { return len(r.Ended) >= MaxListedEnds }
+
 // ExecutorClient sends orders to one incarnation of an executor. It is safe for concurrent use.
 type ExecutorClient interface {
 	// Start, Stop and Throttle return the executor's clock in ms.
