Show that tasks that never get to work keep a wave from its end

Two tasks of one long-running step run there at 50 %. mayEvict moves a task only if fewer others than allowed are away, and each counts the other as away. The rule on availability protects only tasks that are at work.

--- a/internal/decision/schedule/vacate_test.go
+++ b/internal/decision/schedule/vacate_test.go
@@ -82,3 +82,27 @@
 	}
 	c.Assert(vacated(), qt.DeepEquals, []string{"x"})
 }
+
+// Guards against a wave that is never completed: two tasks of a long-running step on one executor do not get to work, and
+// each keeps the other from being moved away.
+func TestVacateMovesTasksThatNeverWork(t *testing.T) {
+	c := qt.New(t)
+	sub := job.Submission{ID: "0000000000000001", Queue: "q", Spec: "s", Steps: []job.Step{{
+		Count: 2, Need: job.Resources{CPU: 100}, LongRunning: true, AllowedMisses: 1,
+	}}}
+	p := newSingleExecutor(&site.Config{Version: 1}, sub)
+	stops := 0
+	for range 200 {
+		p.now += 100 * time.Millisecond
+		p.heartbeat(
+			port.ActiveRun{Task: job.Task{Job: sub.ID}, Run: 1, Percent: 50}, port.ActiveRun{Task: job.Task{Job: sub.ID, Index: 1}, Run: 1, Percent: 50},
+		)
+		p.cycle(nil)
+		for _, e := range p.step(schedule.Vacate{Now: p.now, Until: p.now + time.Second, Executors: []string{"x"}}) {
+			if _, ok := e.(schedule.StopRun); ok {
+				stops++
+			}
+		}
+	}
+	c.Assert(stops > 0, qt.IsTrue)
+}
