--- a/internal/settings/store/apply_test.go
+++ b/internal/settings/store/apply_test.go
@@ -152,15 +152,16 @@
 func TestReusedChangeID(t *testing.T) {
 	c := qt.New(t)
 	ctx, s := context.Background(), memory.New()
+	untilRefusal, cancel := context.WithCancel(ctx)
+	defer cancel()
 	s.Inject(func(call memory.Call) memory.Fault {
 		if call.Write && call.Key == record.KeyConfigHead {
+			cancel()
 			return memory.Refuse
 		}
 		return memory.None
 	})
-	short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
-	defer cancel()
-	_, err := store.Apply(short, s, change("id", 0, small(1)))
+	_, err := store.Apply(untilRefusal, s, change("id", 0, small(1)))
 	c.Assert(err, qt.ErrorIs, message.ErrUnavailable)
 	s.Inject(func(memory.Call) memory.Fault { return memory.None })
 	_, err = store.Apply(ctx, s, change("id", 0, small(2)))
