--- a/internal/decision/schedule/ownership.go
+++ b/internal/decision/schedule/ownership.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
@@ -206,3 +207,22 @@
 	})
 	return record, set
 }
+
+// commitOverdueAfter is the time without a result of a commit after which the ownership is reported as unconfirmed.
+const commitOverdueAfter = time.Second
+
+// reportConfirmation logs when the store stops confirming the ownership of the pool, and when it confirms it again.
+func (t *transition) reportConfirmation() {
+	overdue := slices.ContainsFunc(t.s.inFlight[:], func(p *pendingCommit) bool { return p != nil && t.s.now-p.sent > commitOverdueAfter })
+	if overdue == t.s.commitOverdue {
+		return
+	}
+	t.s.commitOverdue = overdue
+	event := "pool.confirmed"
+	if overdue {
+		event = "pool.unconfirmed"
+	}
+	runs := 0
+	t.s.eachExecutor(func(e *executorState) { runs += len(e.runs) })
+	t.emit(note(slog.LevelWarn, event, "since", t.s.now-t.s.confirmedAt, "executors", t.s.executors.Len(), "runs", runs))
+}
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -101,25 +100,6 @@
 	t.s.placementDue = true
 }
 
-// commitOverdueAfter is the time without a result of a commit after which the ownership is reported as unconfirmed.
-const commitOverdueAfter = time.Second
-
-// reportConfirmation logs when the store stops confirming the ownership of the pool, and when it confirms it again.
-func (t *transition) reportConfirmation() {
-	overdue := slices.ContainsFunc(t.s.inFlight[:], func(p *pendingCommit) bool { return p != nil && t.s.now-p.sent > commitOverdueAfter })
-	if overdue == t.s.commitOverdue {
-		return
-	}
-	t.s.commitOverdue = overdue
-	event := "pool.confirmed"
-	if overdue {
-		event = "pool.unconfirmed"
-	}
-	runs := 0
-	t.s.eachExecutor(func(e *executorState) { runs += len(e.runs) })
-	t.emit(note(slog.LevelWarn, event, "since", t.s.now-t.s.confirmedAt, "executors", t.s.executors.Len(), "runs", runs))
-}
-
 func (t *transition) tickExecutor(x *executorState) {
 	e := *x
 	if e.lapsed(t.s.now, t.s.confirmedAt) {
@@ -318,118 +298,3 @@
 	e.runs, e.allocated = nil, job.Resources{}
 	return e
 }
-
-// stopRun orders the executor to stop a run.
-func (t *transition) stopRun(e executorState, i int) executorState {
-	r := e.runs[i]
-	if r.phase != stopping {
-		r.phase, r.since = stopping, t.s.now
-	}
-	r.lastOrderAt = t.s.now
-	t.emit(StopRun{Executor: e.info.ID, Stop: port.Stop{Task: r.task, Run: r.run, FencingToken: t.s.Epoch}})
-	t.updateTask(r.task, func(x taskState) taskState {
-		if x.run == r.run && x.phase != done {
-			x.phase, x.since = stopping, t.s.now
-		}
-		return x
-	})
-	return e.withRun(r)
-}
-
-// stopJobRuns stops all runs of a job.
-func (t *transition) stopJobRuns(id job.ID) {
-	t.s.eachExecutor(func(x *executorState) {
-		if !slices.ContainsFunc(x.runs, func(r runState) bool { return r.task.Job == id }) {
-			return
-		}
-		e, changed := *x, false
-		for i, r := range e.runs {
-			if r.task.Job == id && r.phase != stopping {
-				e, changed = t.stopRun(e, i), true
-			}
-		}
-		if changed {
-			t.s = t.s.withExecutor(e)
-		}
-	})
-}
-
-func (t *transition) handleOrderResult(m OrderResult) {
-	e, ok := t.s.executor(m.Executor)
-	if !ok {
-		return
-	}
-	if errors.Is(m.Err, port.ErrFenced) {
-		t.emit(StepDown{Executor: m.Executor})
-		return
-	}
-	if m.Kind == OrderThrottle {
-		t.handleThrottleResult(e, m)
-		return
-	}
-	i := e.findRun(m.Task, m.Run)
-	if i < 0 {
-		return
-	}
-	if m.Kind == OrderStop {
-		t.handleStopResult(e, i, m)
-		return
-	}
-	t.handleStartResult(e, i, m)
-}
-
-func (t *transition) handleStopResult(e executorState, i int, m OrderResult) {
-	r := e.runs[i]
-	confirmed := m.Err == nil || errors.Is(m.Err, port.ErrStaleRun) || errors.Is(m.Err, port.ErrExpired) || errors.Is(m.Err, port.ErrRejected)
-	if confirmed {
-		r.stopConfirmed, r.lastOrderAt = true, t.s.now
-		t.s = t.s.withExecutor(e.withRun(r))
-	}
-}
-
-// startRetryDelay keeps a task from being sent again at once to an executor that has just refused it.
-const startRetryDelay = 100 * time.Millisecond
-
-func (t *transition) handleStartResult(e executorState, i int, m OrderResult) {
-	r := e.runs[i]
-	switch {
-	case m.Err == nil:
-		if r.phase == starting {
-			r.phase, r.since = running, t.s.now
-			t.updateTask(r.task, func(x taskState) taskState {
-				if x.run == r.run && x.phase == starting {
-					x.phase, x.since = running, t.s.now
-				}
-				return x
-			})
-		}
-		r.lastOrderAt = t.s.now
-		t.s = t.s.withExecutor(e.withRun(r))
-	case definitelyRefused(m.Err):
-		t.emit(note(slog.LevelInfo, "start.refused", "task", m.Task.String(), "run", m.Run, "executor", m.Executor, "error", m.Err))
-		e = e.withoutRun(i)
-		if errors.Is(m.Err, port.ErrUnhealthy) || errors.Is(m.Err, port.ErrNotConnected) {
-			e.quarantinedUntil = max(e.quarantinedUntil, t.s.now+t.s.policy.HeartbeatBackoff)
-		}
-		t.s = t.s.withExecutor(e)
-		if errors.Is(m.Err, port.ErrTicketRejected) {
-			t.dropTicket(m.Task, e.info.ID)
-		}
-		t.requeue(m.Task, m.Run, "", t.s.now+startRetryDelay)
-	default:
-		t.emit(note(slog.LevelWarn, "start.unsure", "task", m.Task.String(), "run", m.Run, "executor", m.Executor, "error", m.Err))
-		t.s = t.s.withExecutor(t.stopRun(e, i))
-	}
-}
-
-// definitelyRefused reports whether an order that failed with err had no effect and never will have one.
-func definitelyRefused(err error) bool {
-	for _, definite := range []error{
-		port.ErrExpired, port.ErrNoCapacity, port.ErrTicketRejected, port.ErrUnhealthy, port.ErrRejected, port.ErrNotConnected, port.ErrWrongIncarnation,
-	} {
-		if errors.Is(err, definite) && !errors.Is(err, port.ErrUnknownOutcome) {
-			return true
-		}
-	}
-	return false
-}
