Restart long-running tasks whose runs end as done

Cause: handleEndedRun chose by the outcome alone, so that an end as done completed the task whatever its step says. The mark was stored with the progress of the job, which the next owner believed, and a late end of an earlier run stopped the current one.

Ruled out: room and placement (the executors were empty and the tasks no longer queued) and the limit of attempts (no run had failed).

Change: a long-running task whose run ends as done or failed waits for its next run. Marks of earlier versions in the store are ignored for such tasks. Ends within a second of the start, in succession, double the delay from 50 ms up to 3 s; failed runs of these tasks were restarted every 50 ms without a limit. Nothing is written to the store for such an end.

--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -231,16 +231,19 @@
 		r = e.runs[i]
 		e = e.withoutRun(i)
 	}
-	e = e.withRunStats(r, end.Outcome, t.s.now)
-	t.s = t.s.withExecutor(e)
 	j, x, ok := t.findTask(end.Task)
+	longRunning := ok && j.sub.Steps[end.Task.Step].LongRunning
 	level := slog.LevelInfo
-	if end.Outcome == job.OutcomeDone {
-		level = slog.LevelDebug // the log line of the job reports it
+	if !longRunning {
+		e = e.withRunStats(r, end.Outcome, t.s.now)
+		if end.Outcome == job.OutcomeDone {
+			level = slog.LevelDebug // the log line of the job reports it
+		}
 	}
+	t.s = t.s.withExecutor(e)
 	t.emit(note(level, "run.ended", "task", end.Task.String(), "run", end.Run, "executor", id, "how", end.Outcome.String()))
 	// A task that is done by its stored progress has no run.
-	if end.Outcome == job.OutcomeDone && ok && x.run != 0 && x.run != end.Run && x.phase != waiting {
+	if end.Outcome == job.OutcomeDone && ok && !longRunning && x.run != 0 && x.run != end.Run && x.phase != waiting {
 		t.emit(note(slog.LevelWarn, "run.repeated", "task", end.Task.String(), "run", end.Run, "executor", id,
 			"phase", int(x.phase), "current", x.run, "on", x.executor))
 	}
@@ -249,7 +252,11 @@
 	}
 	switch end.Outcome {
 	case job.OutcomeDone:
-		t.completeTask(end.Task)
+		if longRunning {
+			t.restart(end)
+		} else {
+			t.completeTask(end.Task)
+		}
 	case job.OutcomeFailed:
 		t.handleFailedRun(id, end)
 	case job.OutcomeStopped, job.OutcomeLeaseExpired, job.OutcomeGangBroken, job.OutcomeGangTimeout:
@@ -304,6 +311,7 @@
 	quarantineFaults = 3               // failed runs minus successful runs at which an executor is quarantined
 	earlyFailure     = 1 * time.Second // a long-running task that fails sooner counts against its executor
 	failedRetryDelay = 50 * time.Millisecond
+	maxRestartDelay  = 3 * time.Second // callers expect the next run of a long-running task within 6 s
 )
 
 func (t *transition) handleFailedRun(id string, end port.EndedRun) {
@@ -323,10 +331,11 @@
 		}
 		return x
 	})
-	t.requeue(end.Task, end.Run, end.Checkpoint, t.s.now+failedRetryDelay)
 	if longRunning {
+		t.restart(end)
 		return
 	}
+	t.requeue(end.Task, end.Run, end.Checkpoint, t.s.now+failedRetryDelay)
 	j, x, _ = t.findTask(end.Task)
 	if len(x.failedRuns) >= max(1, j.queue.Attempts) && !j.outcome.Final() {
 		j.outcome = job.Failed
@@ -338,6 +347,25 @@
 	t.s = t.s.withChange(j)
 }
 
+// restart requeues a long-running task whose run has ended by itself. The delay doubles with each run in succession that
+// ends early, so that a task which cannot work does not load executors with starts.
+func (t *transition) restart(end port.EndedRun) {
+	_, x, _ := t.findTask(end.Task)
+	if x.run != end.Run {
+		return
+	}
+	early := 0
+	if t.s.now-x.since < earlyFailure {
+		early = x.earlyEnds + 1
+	}
+	t.updateTask(end.Task, func(x taskState) taskState { x.earlyEnds = early; return x })
+	delay := failedRetryDelay
+	for n := 1; n < early && delay < maxRestartDelay; n++ {
+		delay *= 2
+	}
+	t.requeue(end.Task, end.Run, end.Checkpoint, t.s.now+min(delay, maxRestartDelay))
+}
+
 // recordFault counts a failed run against an executor and quarantines the executor at the limit.
 func (t *transition) recordFault(id string) {
 	e, _ := t.s.executor(id)
--- a/internal/decision/schedule/job.go
+++ b/internal/decision/schedule/job.go
@@ -27,6 +27,7 @@
 	since      time.Duration // start of the phase
 	failedRuns []uint64      // numbers of the failed runs
 	failedOn   string        // executor of the last failed run
+	earlyEnds  int           // number of runs of a long-running task in succession that ended early
 	checkpoint string        // latest checkpoint
 	notBefore  time.Duration // earliest start of the next run
 }
@@ -181,7 +182,7 @@
 	return p
 }
 
-// withProgress applies stored progress to the tasks.
+// withProgress applies stored progress to the tasks. Long-running tasks are never done.
 func (j jobState) withProgress(p job.Progress) jobState {
 	for _, s := range p.Steps {
 		i, ok := j.taskSetIndex(job.Task{Occurrence: s.Occurrence, Step: s.Step})
@@ -190,7 +191,7 @@
 		}
 		ts := j.taskSets[i]
 		for index := range ts.tasks {
-			if index/8 < len(s.Done) && s.Done[index/8]&(1<<(index%8)) != 0 {
+			if !j.sub.Steps[s.Step].LongRunning && index/8 < len(s.Done) && s.Done[index/8]&(1<<(index%8)) != 0 {
 				ts = ts.withTask(index, taskState{phase: done})
 			}
 		}
