Complete a whole gang when one of its members ends as done

Cause: the end as done of one member completed its own task only. The other task waited again, and a gang starts only when all of its tasks wait.

Evidence: TestEndOfGangMemberRepresentsGang and TestStoredEndOfGangMember failed before. Ruled out: a change of owner helps (the stored progress has the same gap, as the second test shows).

--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -255,7 +255,7 @@
 		if longRunning {
 			t.restart(end)
 		} else {
-			t.completeTask(end.Task)
+			t.complete(end)
 		}
 	case job.OutcomeFailed:
 		t.handleFailedRun(id, end)
@@ -279,14 +279,32 @@
 	return e
 }
 
-// completeTask marks a task as done and makes the steps that depend on it ready.
-func (t *transition) completeTask(task job.Task) {
+// complete processes the end as done of a task, or of a whole gang: its members end as done together, and the ends of the
+// others may be lost with their executors.
+func (t *transition) complete(end port.EndedRun) {
+	j, _, _ := t.findTask(end.Task)
+	i, _ := j.taskSetIndex(end.Task)
+	if !j.sub.Steps[end.Task.Step].Gang {
+		t.completeTask(end.Task, end.Run)
+		return
+	}
+	for index, x := range j.taskSets[i].tasks {
+		if x.phase != done {
+			member := end.Task
+			member.Index = index
+			t.completeTask(member, end.Run)
+		}
+	}
+}
+
+// completeTask marks a task as done after a run and makes the steps that depend on it ready.
+func (t *transition) completeTask(task job.Task, ended uint64) {
 	_, x, _ := t.findTask(task)
 	other, run := x.executor, x.run
 	t.updateTask(task, func(x taskState) taskState {
 		return taskState{phase: done, run: x.run, failedRuns: x.failedRuns}
 	})
-	if x.phase == starting || x.phase == running { // an earlier run has finished, so the current one is not needed
+	if x.run != ended && (x.phase == starting || x.phase == running) { // an earlier run has finished, so the current one is not needed
 		if e, ok := t.s.executor(other); ok {
 			if i := e.findRun(task, run); i >= 0 {
 				t.s = t.s.withExecutor(t.stopRun(e, i))
--- a/internal/decision/schedule/job.go
+++ b/internal/decision/schedule/job.go
@@ -182,16 +182,22 @@
 	return p
 }
 
-// withProgress applies stored progress to the tasks. Long-running tasks are never done.
+// withProgress applies stored progress to the tasks. Long-running tasks are never done, and a gang is done if one of its
+// members is.
 func (j jobState) withProgress(p job.Progress) jobState {
 	for _, s := range p.Steps {
 		i, ok := j.taskSetIndex(job.Task{Occurrence: s.Occurrence, Step: s.Step})
 		if !ok {
 			continue
 		}
-		ts := j.taskSets[i]
+		ts, step := j.taskSets[i], j.sub.Steps[s.Step]
+		isDone := func(index int) bool { return index/8 < len(s.Done) && s.Done[index/8]&(1<<(index%8)) != 0 }
+		gangDone := false
 		for index := range ts.tasks {
-			if !j.sub.Steps[s.Step].LongRunning && index/8 < len(s.Done) && s.Done[index/8]&(1<<(index%8)) != 0 {
+			gangDone = gangDone || step.Gang && isDone(index)
+		}
+		for index := range ts.tasks {
+			if !step.LongRunning && (gangDone || isDone(index)) {
 				ts = ts.withTask(index, taskState{phase: done})
 			}
 		}
