Do not wait for executors whose instances run a later one

Cause: two owners of the pool followed each other within 8 s, and each waited 7.1 s for silent executors whose instances had just moved to other pools; their entries were still listed (68 of 130 and 6 of 43).

Change: the directory shows the later executor of the same instance, so that the silent one has ended. A new owner no longer waits for it; otherwise its runs are requeued after the next confirmed write, as after a restart. An executor that answers is never taken for replaced.

--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -34,6 +34,7 @@
 	info              site.Executor
 	listed            bool          // present in the store's list
 	born              int64         // start of the incarnation in Unix milliseconds; 0 if unknown
+	replaced          bool          // its instance runs a later executor
 	open              bool          // has answered a heartbeat with this owner's fencing token
 	openedAt          time.Duration // first such answer
 	acceptedAt        time.Duration // when the last heartbeat that it has answered was sent
@@ -131,6 +132,19 @@
 }
 
 // longRunningRuns returns the number of runs of long-running tasks.
+// Silent returns the executors that do not answer, or have not answered this owner yet, and may have runs.
+func (s State) Silent() []site.Executor {
+	var silent []site.Executor
+	s.eachExecutor(func(e *executorState) {
+		if !e.replaced && (e.failingSince != 0 || !e.open) && (len(e.runs) > 0 || s.unsettled[e.info.ID]) {
+			x := e.info
+			x.Born = e.born
+			silent = append(silent, x)
+		}
+	})
+	return silent
+}
+
 func (e executorState) longRunningRuns() int {
 	n := 0
 	for _, r := range e.runs {
--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -69,7 +69,9 @@
 // newIncarnation returns the state of an executor that has restarted. The runs of the former incarnation have ended, and
 // another owner may have acknowledged an end as done, so that their tasks wait for a confirmation of the ownership.
 func (t *transition) newIncarnation(e executorState, born int64) executorState {
-	t.emit(note(slog.LevelInfo, "executor.reborn", "executor", e.info.ID, "born", born, "before", e.born, "runs", len(e.runs)))
+	if born != e.born {
+		t.emit(note(slog.LevelInfo, "executor.reborn", "executor", e.info.ID, "born", born, "before", e.born, "runs", len(e.runs)))
+	}
 	for _, r := range e.runs {
 		t.s.vanished = append(slices.Clip(t.s.vanished), vanishedRun{task: r.task, run: r.run, at: t.s.now})
 	}
@@ -77,6 +79,27 @@
 	return executorState{info: e.info, listed: e.listed, born: born, heartbeatInFlight: e.heartbeatInFlight}
 }
 
+// handleExecutorsReplaced ends the wait for silent executors whose instances run a later one. As after a restart, their
+// tasks wait for a confirmation of the ownership. An executor that answers is not replaced, whatever the list says.
+func (t *transition) handleExecutorsReplaced(ids []string) {
+	replaced := map[string]bool{}
+	for _, id := range ids {
+		e, ok := t.s.executor(id)
+		if !ok || e.replaced || e.open && e.failingSince == 0 {
+			continue
+		}
+		t.emit(note(slog.LevelInfo, "executor.replaced", "executor", id, "instance", e.info.Instance, "born", e.born, "runs", len(e.runs),
+			"awaited", t.s.unsettled[id]))
+		e = t.newIncarnation(e, e.born)
+		e.replaced = true
+		t.s = t.s.withExecutor(e)
+		replaced[id] = true
+	}
+	if len(replaced) > 0 && len(t.s.unsettled) > 0 {
+		t.settle(func(id string) bool { return !replaced[id] })
+	}
+}
+
 // heartbeatWait returns how long an executor may delay its answer while no run ends. It grows with the number of
 // executors, which limits the rate of calls.
 func (s State) heartbeatWait() time.Duration {
@@ -144,6 +167,7 @@
 	if e.failingSince != 0 {
 		t.emit(note(slog.LevelInfo, "executor.back", "executor", e.info.ID, "after", m.Now-e.failingSince))
 	}
+	e.replaced = false
 	e.failingSince, e.clock, e.clockReadAt, e.acceptedAt = 0, report.Clock, m.Now, m.Sent
 	if !e.open {
 		e.open, e.openedAt = true, m.Now
--- a/internal/decision/schedule/message.go
+++ b/internal/decision/schedule/message.go
@@ -29,6 +29,12 @@
 	Executors []site.Executor
 }
 
+// ExecutorsReplaced names executors whose instances run a later executor, so that all their runs have ended.
+type ExecutorsReplaced struct {
+	Now       time.Duration
+	Executors []string
+}
+
 // Submit submits a job; an Answer follows.
 type Submit struct {
 	Token      uint64 // repeated in the Answer
@@ -108,19 +114,20 @@
 	Executors []string
 }
 
-func (Tick) message()             {}
-func (ConfigChanged) message()    {}
-func (ExecutorsListed) message()  {}
-func (Relinquish) message()       {}
-func (Submit) message()           {}
-func (Cancel) message()           {}
-func (HeartbeatResult) message()  {}
-func (OrderResult) message()      {}
-func (CommitResult) message()     {}
-func (CommitStalled) message()    {}
-func (AdviceResult) message()     {}
-func (FormerOwnerEnded) message() {}
-func (Vacate) message()           {}
+func (Tick) message()              {}
+func (ConfigChanged) message()     {}
+func (ExecutorsListed) message()   {}
+func (ExecutorsReplaced) message() {}
+func (Relinquish) message()        {}
+func (Submit) message()            {}
+func (Cancel) message()            {}
+func (HeartbeatResult) message()   {}
+func (OrderResult) message()       {}
+func (CommitResult) message()      {}
+func (CommitStalled) message()     {}
+func (AdviceResult) message()      {}
+func (FormerOwnerEnded) message()  {}
+func (Vacate) message()            {}
 
 // OrderKind is the kind of an order about a run.
 type OrderKind int
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -40,6 +40,9 @@
 	case ExecutorsListed:
 		t.advanceClock(m.Now)
 		t.handleExecutorsListed(m.Executors)
+	case ExecutorsReplaced:
+		t.advanceClock(m.Now)
+		t.handleExecutorsReplaced(m.Executors)
 	case Submit:
 		t.advanceClock(m.Now)
 		t.handleSubmit(m)
--- a/internal/link/pool/pool_owner.go
+++ b/internal/link/pool/pool_owner.go
@@ -226,6 +226,9 @@
 	if !d.Reported {
 		return
 	}
+	if replaced := d.Replaced(o.state.Load().Silent()); len(replaced) > 0 {
+		o.enqueue(ctx, schedule.ExecutorsReplaced{Now: clock.SinceBoot(), Executors: replaced})
+	}
 	listed := d.PoolExecutors(o.duty)
 	same := len(listed) == len(o.lastView.executors) && o.lastView.executors != nil
 	for _, e := range listed {
--- a/internal/model/cluster/directory.go
+++ b/internal/model/cluster/directory.go
@@ -151,6 +151,26 @@
 	return ok && m.Start > o.Start
 }
 
+// Replaced returns the IDs of those of the given executors whose instances run one that has started later.
+func (d Directory) Replaced(executors []site.Executor) []string {
+	if len(executors) == 0 {
+		return nil
+	}
+	latest := map[string]site.Executor{}
+	for _, x := range d.Executors {
+		if x.Instance != "" && x.Born > latest[x.Instance].Born {
+			latest[x.Instance] = x
+		}
+	}
+	var replaced []string
+	for _, e := range executors {
+		if x := latest[e.Instance]; e.Born != 0 && x.Born > e.Born && x.ID != e.ID {
+			replaced = append(replaced, e.ID)
+		}
+	}
+	return replaced
+}
+
 // PoolExecutors returns the listed executors of a pool.
 func (d Directory) PoolExecutors(pool string) []site.Executor {
 	var listed []site.Executor
