Let tasks that never get to work leave a vacated executor

What operators saw: a wave that was never completed. Two long-running tasks of a step stayed below 100 % and kept each other from being moved.

Cause: a task was moved only while at most the allowed number of others was not at work, although a task that is not at work itself makes no further one unavailable when it is stopped.

Change: a task that was listed below 100 % for 6 s may be stopped in any case. The time starts anew when it has been at work, so that a task that starts, or has just come to work, is kept.

TestVacateLeavesTasksThatComeToWork guards the other direction.

--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -17,6 +17,7 @@
 	since         time.Duration // start of the phase
 	lastOrderAt   time.Duration // when the last order about it was sent or answered
 	stopConfirmed bool          // a stop order was answered, so the run has ended or will never start
+	unreadySince  time.Duration // when a report first listed it below 100 percent; 0 if the last one did not
 	percent       int           // reported progress; a long-running task is ready at 100
 	speed         int           // last ordered speed in percent of full speed
 	metric        float64       // of a serving task: its tail latency in ms; else the CPU in use
@@ -33,8 +34,8 @@
 type executorState struct {
 	info              site.Executor
 	listed            bool          // present in the store's list
-	born              int64         // start of the incarnation in Unix milliseconds; 0 if unknown
 	replaced          bool          // its instance runs a later executor
+	born              int64         // start of the incarnation in Unix milliseconds; 0 if unknown
 	open              bool          // has answered a heartbeat with this owner's fencing token
 	openedAt          time.Duration // first such answer
 	acceptedAt        time.Duration // when the last heartbeat that it has answered was sent
@@ -131,7 +132,6 @@
 	return !slices.ContainsFunc(e.runs, func(r runState) bool { return r.stray })
 }
 
-// longRunningRuns returns the number of runs of long-running tasks.
 // Silent returns the executors that do not answer, or have not answered this owner yet, and may have runs.
 func (s State) Silent() []site.Executor {
 	var silent []site.Executor
@@ -145,6 +145,7 @@
 	return silent
 }
 
+// longRunningRuns returns the number of runs of long-running tasks.
 func (e executorState) longRunningRuns() int {
 	n := 0
 	for _, r := range e.runs {
--- a/internal/decision/schedule/reconcile.go
+++ b/internal/decision/schedule/reconcile.go
@@ -60,7 +60,7 @@
 
 // withReported returns a run as its executor lists it.
 func (t *transition) withReported(r runState, a port.ActiveRun) runState {
-	r.percent, r.metric = a.Percent, a.Metric
+	r = r.withProgress(a, t.s.now)
 	if r.phase == starting {
 		r.phase, r.since, r.lastOrderAt = running, t.s.now, t.s.now
 		t.updateTask(r.task, func(x taskState) taskState {
@@ -78,6 +78,18 @@
 	return r
 }
 
+// withProgress returns a copy with the progress that a report shows.
+func (r runState) withProgress(a port.ActiveRun, now time.Duration) runState {
+	r.percent, r.metric = a.Percent, a.Metric
+	switch {
+	case a.Percent >= 100:
+		r.unreadySince = 0
+	case r.unreadySince == 0:
+		r.unreadySince = now
+	}
+	return r
+}
+
 // reconcileMissing handles a run that the executor does not list. It counts as gone only if the report lists all ended
 // runs, and the heartbeat was sent after the last order about it was answered, or after its start must have expired.
 func (t *transition) reconcileMissing(e executorState, r runState, m HeartbeatResult) executorState {
@@ -106,7 +118,7 @@
 // adoptRun takes over a run that this owner did not order, or stops it if it is not wanted.
 func (t *transition) adoptRun(e executorState, a port.ActiveRun) executorState {
 	j, x, ok := t.findTask(a.Task)
-	r := runState{task: a.Task, run: a.Run, phase: running, since: t.s.now, lastOrderAt: t.s.now, percent: a.Percent, metric: a.Metric, speed: 100}
+	r := runState{task: a.Task, run: a.Run, phase: running, since: t.s.now, lastOrderAt: t.s.now, speed: 100}.withProgress(a, t.s.now)
 	if !ok {
 		r.stray = true
 		t.emit(note(slog.LevelWarn, "run.stray", "task", a.Task.String(), "run", a.Run, "executor", e.info.ID))
--- a/internal/decision/schedule/vacate.go
+++ b/internal/decision/schedule/vacate.go
@@ -15,6 +15,10 @@
 // sheets.
 const minReadyTime = time.Second
 
+// neverReadyTime is how long a long-running task must have been listed without being at work before it may be evicted
+// whatever the others of its step do. It exceeds the short startup after which the users expect such a task at work.
+const neverReadyTime = 6 * time.Second
+
 // handleVacate closes executors to new tasks, evicts their runs as far as allowed and answers which are empty. Without a
 // valid ownership none is certainly empty, because another owner may have started tasks on it.
 func (t *transition) handleVacate(m Vacate) {
@@ -55,13 +59,19 @@
 			continue
 		}
 		step := j.sub.Steps[r.task.Step]
-		if step.LongRunning && t.mayEvict(j, r.task) || !step.LongRunning && t.s.now-e.vacatingSince > batchEvictDelay {
+		if step.LongRunning && (t.isStuck(e, r) || t.mayEvict(j, r.task)) || !step.LongRunning && t.s.now-e.vacatingSince > batchEvictDelay {
 			e = t.stopRun(e, i)
 			t.s = t.s.withExecutor(e)
 		}
 	}
 }
 
+// isStuck reports whether a run of a long-running task is not at work and won't be soon, so that stopping it makes no
+// further task of its step unavailable.
+func (t *transition) isStuck(e executorState, r runState) bool {
+	return e.failingSince == 0 && r.unreadySince != 0 && t.s.now-r.unreadySince > neverReadyTime
+}
+
 // mayEvict reports whether a task of a long-running step may be stopped now.
 func (t *transition) mayEvict(j jobState, task job.Task) bool {
 	i, _ := j.taskSetIndex(task)
--- a/internal/decision/schedule/vacate_test.go
+++ b/internal/decision/schedule/vacate_test.go
@@ -106,3 +106,34 @@
 	}
 	c.Assert(stops > 0, qt.IsTrue)
 }
+
+// Guards against evicting a task that has just come to work, or is about to, while another one of its step is away.
+func TestVacateLeavesTasksThatComeToWork(t *testing.T) {
+	c := qt.New(t)
+	sub := job.Submission{ID: "0000000000000001", Queue: "q", Spec: "s", Steps: []job.Step{{
+		Count: 2, Need: job.Resources{CPU: 100}, LongRunning: true, AllowedMisses: 1,
+	}}}
+	p := newSingleExecutor(&site.Config{Version: 1}, sub)
+	stops := func(percent int) (n int) {
+		p.now += 100 * time.Millisecond
+		p.heartbeat(
+			port.ActiveRun{Task: job.Task{Job: sub.ID}, Run: 1, Percent: percent}, port.ActiveRun{Task: job.Task{Job: sub.ID, Index: 1}, Run: 1, Percent: 50},
+		)
+		p.cycle(nil)
+		for _, e := range p.step(schedule.Vacate{Now: p.now, Until: p.now + time.Second, Executors: []string{"x"}}) {
+			if x, ok := e.(schedule.StopRun); ok {
+				c.Check(x.Stop.Task.Index, qt.Equals, 1)
+				n++
+			}
+		}
+		return n
+	}
+	for range 50 {
+		c.Assert(stops(50), qt.Equals, 0)
+	}
+	stopped := 0
+	for range 50 {
+		stopped += stops(100)
+	}
+	c.Assert(stopped > 0, qt.IsTrue, qt.Commentf("the task that never gets to work"))
+}
