Add moves, repeated submissions and ends of long-running tasks to the soak

Each configuration that the soak publishes moves a path to another pool or back. Callers repeat recent submissions, also of jobs that have ended or were canceled, and every second long-running job has tasks that end as done. The ledger reports a job that lasts and is shown as completed, a long-running task without a run after the faults, and a repetition that is answered as another job.

--- a/internal/proof/soak/caller.go
+++ b/internal/proof/soak/caller.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"teaselloft/internal/standin/site"
@@ -23,11 +24,18 @@
 	r := rand.New(rand.NewPCG(s.options.Seed, uint64(n)))
 	caller := site.NewCaller(callTimeout)
 	defer caller.Close()
+	repeats := rand.New(rand.NewPCG(s.options.Seed, 1<<33+uint64(n)))
+	var accepted []site.Job
 	for serial := 0; ctx.Err() == nil; serial++ {
 		j := newJob(r, fmt.Sprintf("%08x%08x", n, serial))
 		if s.submit(ctx, caller, r, j) {
+			accepted = append(accepted, j)
 			s.follow(ctx, caller, r, j)
 		}
+		if len(accepted) > 0 && repeats.IntN(2) == 0 {
+			recent := accepted[max(0, len(accepted)-5):]
+			s.submitOnce(ctx, caller, s.daemonFor(repeats), recent[repeats.IntN(len(recent))])
+		}
 		wait(ctx, between(r, 50*time.Millisecond, 600*time.Millisecond))
 	}
 }
@@ -54,6 +62,9 @@
 		j.Spec = "fail"
 	case 1:
 		j.Spec, j.Steps = "1h", []site.Step{{Count: 1 + r.IntN(3), CPU: 300, Memory: 64, Lasting: true}}
+		if strings.ContainsAny(id[len(id)-1:], "13579bdf") {
+			j.Spec = "1300ms" // its runs end as done
+		}
 	}
 	return j
 }
@@ -67,17 +78,10 @@
 // was accepted.
 func (s *soak) submit(ctx context.Context, c *site.Caller, r *rand.Rand, j site.Job) bool {
 	for range attempts {
-		d := s.daemonFor(r)
-		s.ledger.Submitting(j)
-		sent := s.ledger.now()
-		status, err := c.Submit(ctx, d.callerAddress, j)
+		status := s.submitOnce(ctx, c, s.daemonFor(r), j)
 		if ctx.Err() != nil {
 			return false
 		}
-		s.checkConnection(d, sent, err)
-		if err == nil {
-			s.ledger.submitAnswered(j, status)
-		}
 		switch {
 		case status == http.StatusOK:
 			return true
@@ -89,6 +93,21 @@
 	return false
 }
 
+// submitOnce sends a submission and returns the status of the answer, or 0 if there is none.
+func (s *soak) submitOnce(ctx context.Context, c *site.Caller, d *daemon, j site.Job) int {
+	s.ledger.Submitting(j)
+	sent := s.ledger.now()
+	status, err := c.Submit(ctx, d.callerAddress, j)
+	if ctx.Err() != nil {
+		return 0
+	}
+	s.checkConnection(d, sent, err)
+	if err == nil {
+		s.ledger.submitAnswered(j, status)
+	}
+	return status
+}
+
 // checkConnection reports a connection that ended without an answer to the ledger. Timeouts and refused connections
 // are ignored.
 func (s *soak) checkConnection(d *daemon, sent time.Duration, err error) {
--- a/internal/proof/soak/ledger.go
+++ b/internal/proof/soak/ledger.go
@@ -15,6 +15,7 @@
 // Time bounds of the guarantees, from the user documentation.
 const (
 	cancelBound  = 3 * time.Second        // from the acknowledgement of a cancellation until no task of the job starts
+	restartBound = 9 * time.Second        // from the end of a long-running task's run until its next one has started
 	visibleBound = 3 * time.Second        // from the acknowledgement of a job until every daemon knows it
 	lossSlack    = 200 * time.Millisecond // a request sent this shortly before a graceful stop ends its connection may be lost
 	contactBound = 3 * time.Second        // time without a fault after which the bounds hold again
@@ -38,6 +39,7 @@
 	successes   map[string][]*success        // runs that have ended as done and are not acknowledged, by executor
 	failures    map[string]int               // acknowledged failed runs by task
 	ended       map[string]bool              // tasks that have succeeded on an executor
+	lastEnd     map[string]time.Duration     // of the latest run of each task that has ended
 	faults      []span
 	violations  []Violation
 	starts      int
@@ -75,7 +77,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		begin: time.Now(), jobs: map[string]*jobRecord{}, runs: map[string]map[string]uint64{}, done: map[string]bool{},
-		successes: map[string][]*success{}, failures: map[string]int{}, ended: map[string]bool{}, answers: map[string]int{},
+		successes: map[string][]*success{}, failures: map[string]int{}, ended: map[string]bool{}, lastEnd: map[string]time.Duration{}, answers: map[string]int{},
 	}
 }
 
@@ -133,6 +135,7 @@
 		l.checkStart(e)
 	case site.End:
 		delete(l.runs[e.Executor], e.Task)
+		l.lastEnd[e.Task] = l.now()
 		if e.How == "done" {
 			l.ended[e.Task] = true
 			l.successes[e.Executor] = append(l.successes[e.Executor], &success{task: e.Task, run: e.Run})
@@ -183,6 +186,9 @@
 	}
 	x := open[n]
 	l.successes[e.Executor] = slices.Delete(open, n, n+1)
+	if l.lasts(e.Task) {
+		return // it is started again however it ends
+	}
 	if x.lapsed {
 		l.lapsedNotes++
 		return
@@ -193,6 +199,13 @@
 	}
 }
 
+// lasts reports whether a task is long-running.
+func (l *Ledger) lasts(task string) bool {
+	id, step, ok := parseTask(task)
+	j := l.jobs[id]
+	return ok && j != nil && step < len(j.job.Steps) && j.job.Steps[step].Lasting
+}
+
 // checkStart records the start of a run and checks it against the job and the executor's other runs.
 func (l *Ledger) checkStart(e site.Start) {
 	id, step, ok := parseTask(e.Task)
@@ -275,6 +288,8 @@
 		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound:
 		x.refused++
+	case http.StatusConflict:
+		l.note("LOST", "job %s is answered as if its id belonged to another job", j.ID)
 	}
 }
 
@@ -287,6 +302,8 @@
 	switch {
 	case status == http.StatusGone && x.accepted != 0 && asked > x.accepted+visibleBound && !x.cancelRequested:
 		l.note("LOST", "job %s is not known %v after it was accepted", j.ID, l.now()-x.accepted)
+	case state == "completed" && j.Steps[0].Lasting:
+		l.note("LOST", "job %s is shown as completed, and lasts until it is canceled", j.ID)
 	case state == "completed":
 		l.completed(x)
 	case state == "cancelled" && !x.cancelRequested:
@@ -358,6 +375,31 @@
 	return open
 }
 
+// idleLongRunning returns the tasks of accepted long-running jobs that should have a run and have none.
+func (l *Ledger) idleLongRunning() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	running := map[string]bool{}
+	for _, runs := range l.runs {
+		for task := range runs {
+			running[task] = true
+		}
+	}
+	var idle []string
+	for id, x := range l.jobs {
+		if x.accepted == 0 || x.cancelRequested || !x.job.Steps[0].Lasting {
+			continue
+		}
+		for index := range x.job.Steps[0].Count {
+			task := fmt.Sprintf("%s.0.0.%d", id, index)
+			if end, ok := l.lastEnd[task]; !running[task] && (!ok || l.now() > end+restartBound) {
+				idle = append(idle, task)
+			}
+		}
+	}
+	return idle
+}
+
 // running returns the running tasks of cancelled jobs.
 func (l *Ledger) running() []string {
 	l.mutex.Lock()
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -54,10 +54,11 @@
 	ledger  *Ledger
 	system  *system
 
-	mutex      sync.Mutex
-	busy       map[*daemon]bool // daemons with a process fault in progress
-	version    int              // of the configuration
-	extraQueue string           // queue that the current configuration adds
+	mutex          sync.Mutex
+	busy           map[*daemon]bool // daemons with a process fault in progress
+	version        int              // of the configuration
+	extraQueue     string           // queue that the current configuration adds
+	configurations int              // published so far
 }
 
 // Run starts a system, injects faults into it and reports the violations that callers and executors observed. It
@@ -103,12 +104,16 @@
 	}
 }
 
-// configure publishes a configuration with a new extra queue in place of the previous one.
+// configure publishes a configuration with a new extra queue in place of the previous one, and moves the path of a
+// pool to another pool or back.
 func (s *soak) configure() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.version += 1 + s.version%3 // versions rise in uneven steps
 	s.extraQueue = fmt.Sprintf("extra-%d", s.version)
+	s.configurations++
+	n := s.configurations
+	s.system.site.Move(site.Route(Pools[n%len(Pools)]), Pools[n/len(Pools)%len(Pools)])
 	s.system.site.Configure(s.version, s.extraQueue)
 }
 
@@ -120,6 +125,7 @@
 		s.ledger.violated("recovery", "%v", err)
 		return
 	}
+	s.awaitLongRunning(ctx)
 	s.cancelLongRunning(ctx, caller)
 	limit := time.Now().Add(settleTimeout)
 	for time.Now().Before(limit) && ctx.Err() == nil {
@@ -141,6 +147,22 @@
 	s.checkConfiguration(ctx, caller)
 }
 
+// awaitLongRunning waits until every task of the accepted long-running jobs has a run, or had one a moment ago.
+func (s *soak) awaitLongRunning(ctx context.Context) {
+	for limit := time.Now().Add(settleTimeout); ctx.Err() == nil; wait(ctx, 300*time.Millisecond) {
+		idle := s.ledger.idleLongRunning()
+		if len(idle) == 0 {
+			return
+		}
+		if time.Now().After(limit) {
+			for _, task := range idle {
+				s.ledger.violated("LOST", "%s lasts and has no run after %v of calm", task, settleTimeout)
+			}
+			return
+		}
+	}
+}
+
 // cancelLongRunning cancels the long-running jobs, which would never end by themselves. Without faults the first
 // answer is final.
 func (s *soak) cancelLongRunning(ctx context.Context, c *site.Caller) {
