Look for room behind jobs that fit on no executor

Cause: a scheduling cycle ends after 100 task sets without room, and those that fit nowhere were among the first of each cycle.

Change: task sets that are larger than every executor of the pool are in a class behind all others until a larger executor is listed. Behind the first 100 without room, each cycle looks at 50 more and the next one goes on from there. The owner warns of such a job when it is accepted (job.oversized).

--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -291,6 +291,7 @@
 	t.s = t.s.withJob(j)
 	if first {
 		t.emit(note(slog.LevelInfo, "job.accepted", "job", string(x.id), "queue", j.sub.Queue, "steps", len(j.sub.Steps), "objective", j.objective-t.s.now))
+		t.reportUnplaceable(j)
 		if j.sub.Repeat > 0 {
 			t.s.repeating = t.s.repeating.Set(x.id, 0)
 			t.addDueOccurrences()
@@ -299,6 +300,18 @@
 	t.s = t.s.withAllRanks(x.id)
 }
 
+// reportUnplaceable reports the first step of a job for whose tasks no executor of the pool is large enough.
+func (t *transition) reportUnplaceable(j jobState) {
+	for i, step := range j.sub.Steps {
+		if !t.s.mayFit(step) {
+			need, largest := step.Demand(), t.s.largest[step.Label]
+			t.emit(note(slog.LevelWarn, "job.oversized", "job", string(j.sub.ID), "step", i, "label", step.Label, "cpu", need.CPU, "memory", need.Memory,
+				"gpu", need.GPU, "largest.cpu", largest.CPU, "largest.memory", largest.Memory, "largest.gpu", largest.GPU))
+			return
+		}
+	}
+}
+
 // closeJob stops the remaining runs of a job and reduces its state to its outcome.
 func (t *transition) closeJob(j jobState, final job.State) {
 	id := j.sub.ID
--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -31,6 +31,7 @@
 			t.emit(note(slog.LevelInfo, "executor.unlisted", "executor", e.info.ID, "runs", len(e.runs)))
 		}
 	})
+	t.s = t.s.withLargest()
 	t.s.placementDue = true
 }
 
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -9,6 +9,8 @@
 
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/port"
+
+	"github.com/benbjohnson/immutable"
 )
 
 // candidate is an executor with its free resources. Unlike the state, it is changed in place during a cycle.
@@ -32,6 +34,10 @@
 // during a surge, when thousands of task sets wait for the same executors.
 const maxMisses = 100
 
+// maxLaterMisses is the same for the task sets behind those. Each cycle looks at others of them, so that one for which
+// there is room is found however many wait without.
+const maxLaterMisses = 50
+
 // placeReady starts ready tasks in order of rank as far as there are free resources.
 func (t *transition) placeReady() {
 	if !t.s.placementDue {
@@ -49,8 +55,26 @@
 	if len(candidates) == 0 {
 		return
 	}
+	i := t.s.ready.Iterator()
+	next := t.placeFrom(i, candidates, maxMisses)
+	if next == nil {
+		t.s.scanFrom = rank{}
+		return
+	}
+	if (rankOrder{}).Compare(t.s.scanFrom, *next) > 0 {
+		i.Seek(t.s.scanFrom)
+	}
+	t.s.scanFrom = rank{}
+	if next = t.placeFrom(i, candidates, maxLaterMisses); next != nil {
+		t.s.scanFrom = *next
+	}
+}
+
+// placeFrom starts tasks of the task sets from the position of an iterator on, until there was no room for a number of
+// them. It returns the rank of the last one, or nil if none are left.
+func (t *transition) placeFrom(i *immutable.SortedMapIterator[rank, taskSetRef], candidates []candidate, limit int) *rank {
 	free, misses := maxFree(candidates), 0
-	for i := t.s.ready.Iterator(); !i.Done() && misses < maxMisses; {
+	for !i.Done() {
 		r, ref, _ := i.Next()
 		if r.class == classInTime && t.s.isLate(ref) {
 			t.s = t.s.withRank(ref.job, ref.index) // moves it to the late class, for the next cycle
@@ -61,10 +85,16 @@
 		case placed:
 			free = maxFree(candidates)
 		case noRoom:
-			misses++
+			if r.class != classUnplaceable {
+				t.s = t.s.withRank(ref.job, ref.index) // its largest executor may have left
+			}
+			if misses++; misses == limit {
+				return &r
+			}
 		case deferred:
 		}
 	}
+	return nil
 }
 
 // maxFree returns for each resource the largest amount that is free on any candidate.
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -39,10 +39,12 @@
 	commitOverdue      bool                                 // a commit has had no result for commitOverdueAfter
 	recorded           usedSet                              // the executors in the stored record
 	former             formerOwner
-	vanished           []vanishedRun   // whose tasks wait for a commit
-	usedChanged        bool            // the stored record of the used executors is out of date
-	unsettled          map[string]bool // executors that may have runs of the former owner and have not answered yet
-	settleDeadline     time.Duration   // by then the leases of those executors have expired
+	vanished           []vanishedRun            // whose tasks wait for a commit
+	usedChanged        bool                     // the stored record of the used executors is out of date
+	unsettled          map[string]bool          // executors that may have runs of the former owner and have not answered yet
+	settleDeadline     time.Duration            // by then the leases of those executors have expired
+	largest            map[string]job.Resources // by label, and for "" of all: the largest amount of each resource that a listed executor has
+	scanFrom           rank                     // where the next cycle goes on looking behind the first task sets without room
 	lastSweep          time.Duration
 	placementDue       bool // whether the next scheduling cycle has to look for tasks to start
 }
@@ -191,13 +193,16 @@
 const (
 	classLongRunning = iota // only useful while its tasks run
 	classInTime
-	classLate // can no longer meet its objective
+	classLate        // can no longer meet its objective
+	classUnplaceable // larger than every executor of the pool
 )
 
 func (s State) rankOf(j jobState, index int) *rank {
 	ts := j.taskSets[index]
 	r := rank{class: classInTime, priority: j.queue.Priority, id: j.sub.ID, index: index}
 	switch {
+	case !s.mayFit(j.sub.Steps[ts.step]):
+		r.class = classUnplaceable
 	case j.sub.Steps[ts.step].LongRunning:
 		r.class, r.remaining = classLongRunning, ts.due.Milliseconds()
 		return &r
@@ -208,6 +213,45 @@
 	return &r
 }
 
+// mayFit reports whether an executor of the pool can have room for a task of a step. It is true for a pool without
+// executors, which may get some of any size.
+func (s State) mayFit(step job.Step) bool {
+	return len(s.largest) == 0 || step.Demand().FitsIn(s.largest[step.Label])
+}
+
+// withLargest updates the largest capacities from the listed executors, and the ranks of the task sets that none of them
+// had room for.
+func (s State) withLargest() State {
+	largest := map[string]job.Resources{}
+	grown := false
+	s.eachExecutor(func(e *executorState) {
+		if !e.listed {
+			return
+		}
+		for _, label := range append([]string{""}, e.info.Labels...) {
+			r, c := largest[label], e.info.Capacity
+			r = job.Resources{CPU: max(r.CPU, c.CPU), Memory: max(r.Memory, c.Memory), GPU: max(r.GPU, c.GPU)}
+			largest[label] = r
+			grown = grown || !r.FitsIn(s.largest[label])
+		}
+	})
+	grown = grown || len(largest) == 0
+	s.largest = largest
+	if !grown {
+		return s
+	}
+	var unplaceable []taskSetRef
+	i := s.ready.Iterator()
+	for i.Seek(rank{class: classUnplaceable}); !i.Done(); {
+		_, ref, _ := i.Next()
+		unplaceable = append(unplaceable, ref)
+	}
+	for _, ref := range unplaceable {
+		s = s.withRank(ref.job, ref.index)
+	}
+	return s
+}
+
 // withAllRanks updates the rank of every task set of a job.
 func (s State) withAllRanks(id job.ID) State {
 	j, ok := s.job(id)
--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -13,6 +13,7 @@
 	Config    int64             `json:"config"`
 	Open      int               `json:"open"` // jobs that have not ended
 	Ready     int               `json:"ready"`
+	Oversized int               `json:"oversized"` // jobs with a ready step that is larger than every executor of the pool
 	Ended     int               `json:"ended"`
 	Unstored  int               `json:"unstored"`  // jobs with changes that are not in a commit yet
 	Unsettled int               `json:"unsettled"` // executors that may have runs of the former owner
@@ -48,6 +49,10 @@
 		id, _, _ := i.Next()
 		out.States[s.Status(id).State.String()]++
 	}
+	i := s.ready.Iterator()
+	for i.Seek(rank{class: classUnplaceable}); !i.Done(); out.Oversized++ {
+		_, _, _ = i.Next()
+	}
 	s.eachExecutor(func(e *executorState) {
 		x := ExecutorSummary{
 			ID: e.info.ID, Instance: e.info.Instance, Rack: e.info.Rack(), Open: e.open, Draining: e.info.Draining,
@@ -81,7 +86,7 @@
 		}
 		ts := j.taskSets[ref.index]
 		cpu := int64(ts.waiting) * j.sub.Steps[ts.step].Demand().CPU
-		if r.class == classLate {
+		if r.class == classLate || r.class == classUnplaceable {
 			load.Late += cpu
 		} else {
 			load.Backlog += cpu
