Name task sets larger than every executor oversized throughout

They move to their class when an attempt to place them finds that no executor is large enough, so that no rank is computed again for the others.

--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -291,7 +291,7 @@
 	t.s = t.s.withJob(j)
 	if first {
 		t.emit(note(slog.LevelInfo, "job.accepted", "job", string(x.id), "queue", j.sub.Queue, "steps", len(j.sub.Steps), "objective", j.objective-t.s.now))
-		t.reportUnplaceable(j)
+		t.reportOversized(j)
 		if j.sub.Repeat > 0 {
 			t.s.repeating = t.s.repeating.Set(x.id, 0)
 			t.addDueOccurrences()
@@ -300,8 +300,8 @@
 	t.s = t.s.withAllRanks(x.id)
 }
 
-// reportUnplaceable reports the first step of a job for whose tasks no executor of the pool is large enough.
-func (t *transition) reportUnplaceable(j jobState) {
+// reportOversized reports the first step of a job for whose tasks no executor of the pool is large enough.
+func (t *transition) reportOversized(j jobState) {
 	for i, step := range j.sub.Steps {
 		if !t.s.mayFit(step) {
 			need, largest := step.Demand(), t.s.largest[step.Label]
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -84,15 +84,18 @@
 		switch t.placeTaskSet(candidates, ref, free) {
 		case placed:
 			free = maxFree(candidates)
-		case noRoom:
-			if r.class != classUnplaceable {
-				t.s = t.s.withRank(ref.job, ref.index) // its largest executor may have left
-			}
-			if misses++; misses == limit {
-				return &r
+		case oversized:
+			if r.class != classOversized {
+				t.s = t.s.withRank(ref.job, ref.index) // the largest executor has left
 			}
+			misses++
+		case noRoom:
+			misses++
 		case deferred:
 		}
+		if misses == limit {
+			return &r
+		}
 	}
 	return nil
 }
@@ -117,9 +120,10 @@
 type placeResult int
 
 const (
-	placed   placeResult = iota // at least one task was started
-	noRoom                      // no executor has room for a task
-	deferred                    // it waits for advice
+	placed    placeResult = iota // at least one task was started
+	noRoom                       // no executor has room for a task
+	oversized                    // no executor is large enough for a task
+	deferred                     // it waits for advice
 )
 
 // placeTaskSet starts tasks of a task set. The argument free holds the largest free amount of each resource on any
@@ -131,6 +135,9 @@
 	}
 	ts := j.taskSets[ref.index]
 	step := j.sub.Steps[ts.step]
+	if !t.s.mayFit(step) {
+		return oversized
+	}
 	if !step.Demand().FitsIn(free) {
 		return noRoom
 	}
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -193,8 +193,8 @@
 const (
 	classLongRunning = iota // only useful while its tasks run
 	classInTime
-	classLate        // can no longer meet its objective
-	classUnplaceable // larger than every executor of the pool
+	classLate      // can no longer meet its objective
+	classOversized // larger than every executor of the pool
 )
 
 func (s State) rankOf(j jobState, index int) *rank {
@@ -202,7 +202,7 @@
 	r := rank{class: classInTime, priority: j.queue.Priority, id: j.sub.ID, index: index}
 	switch {
 	case !s.mayFit(j.sub.Steps[ts.step]):
-		r.class = classUnplaceable
+		r.class = classOversized
 	case j.sub.Steps[ts.step].LongRunning:
 		r.class, r.remaining = classLongRunning, ts.due.Milliseconds()
 		return &r
@@ -240,13 +240,13 @@
 	if !grown {
 		return s
 	}
-	var unplaceable []taskSetRef
+	var oversized []taskSetRef
 	i := s.ready.Iterator()
-	for i.Seek(rank{class: classUnplaceable}); !i.Done(); {
+	for i.Seek(rank{class: classOversized}); !i.Done(); {
 		_, ref, _ := i.Next()
-		unplaceable = append(unplaceable, ref)
+		oversized = append(oversized, ref)
 	}
-	for _, ref := range unplaceable {
+	for _, ref := range oversized {
 		s = s.withRank(ref.job, ref.index)
 	}
 	return s
--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -50,7 +50,7 @@
 		out.States[s.Status(id).State.String()]++
 	}
 	i := s.ready.Iterator()
-	for i.Seek(rank{class: classUnplaceable}); !i.Done(); out.Oversized++ {
+	for i.Seek(rank{class: classOversized}); !i.Done(); out.Oversized++ {
 		_, _, _ = i.Next()
 	}
 	s.eachExecutor(func(e *executorState) {
@@ -86,7 +86,7 @@
 		}
 		ts := j.taskSets[ref.index]
 		cpu := int64(ts.waiting) * j.sub.Steps[ts.step].Demand().CPU
-		if r.class == classLate || r.class == classUnplaceable {
+		if r.class == classLate || r.class == classOversized {
 			load.Late += cpu
 		} else {
 			load.Backlog += cpu
