Log a restart of an executor without a known start, too

The event executor.reborn was skipped when neither incarnation had a start time, since the code that ends an incarnation also served replaced executors.

--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -70,14 +70,19 @@
 // newIncarnation returns the state of an executor that has restarted. The runs of the former incarnation have ended, and
 // another owner may have acknowledged an end as done, so that their tasks wait for a confirmation of the ownership.
 func (t *transition) newIncarnation(e executorState, born int64) executorState {
-	if born != e.born {
-		t.emit(note(slog.LevelInfo, "executor.reborn", "executor", e.info.ID, "born", born, "before", e.born, "runs", len(e.runs)))
-	}
+	t.emit(note(slog.LevelInfo, "executor.reborn", "executor", e.info.ID, "born", born, "before", e.born, "runs", len(e.runs)))
+	e = t.endIncarnation(e)
+	e.born = born
+	return e
+}
+
+// endIncarnation returns the state of an executor whose incarnation has ended with all its runs.
+func (t *transition) endIncarnation(e executorState) executorState {
 	for _, r := range e.runs {
 		t.s.vanished = append(slices.Clip(t.s.vanished), vanishedRun{task: r.task, run: r.run, at: t.s.now})
 	}
 	t.s.usedChanged = true
-	return executorState{info: e.info, listed: e.listed, born: born, heartbeatInFlight: e.heartbeatInFlight}
+	return executorState{info: e.info, listed: e.listed, born: e.born, heartbeatInFlight: e.heartbeatInFlight}
 }
 
 // handleExecutorsReplaced ends the wait for silent executors whose instances run a later one. As after a restart, their
@@ -91,7 +96,7 @@
 		}
 		t.emit(note(slog.LevelInfo, "executor.replaced", "executor", id, "instance", e.info.Instance, "born", e.born, "runs", len(e.runs),
 			"awaited", t.s.unsettled[id]))
-		e = t.newIncarnation(e, e.born)
+		e = t.endIncarnation(e)
 		e.replaced = true
 		t.s = t.s.withExecutor(e)
 		replaced[id] = true
