Answer 504 while a former pool may have accepted a job

A daemon that asked the owner of a former pool passed its errors on to the caller. One that is not certain to own the pool answers that the state can't be read, which became a 503: "not accepted and never runs", although the job may run. Every such error is an unknown outcome now. A former pool on standby has no owner, like one that was removed, so that its records are read from the store.

Found while reading the change; the new rows of TestRepeatInDoubt failed before.

--- a/internal/link/jobservice/move_test.go
+++ b/internal/link/jobservice/move_test.go
@@ -23,16 +23,16 @@
 // fakeSite is a site with any number of pools, all owned by this process, and the store of its record of the paths.
 type fakeSite struct {
 	port.Store
-	mutex     sync.Mutex
-	config    *site.Config
-	paths     cluster.Paths // as the directory knows them
-	record    port.Item     // of the paths
-	storeErr  error         // result of every write
-	getErr    error         // result of every read
-	writes    int
-	accepted  map[string]bool // by pool and job ID
-	unreached map[string]bool // pools whose owner does not answer
-	calls     []string        // to owners
+	mutex    sync.Mutex
+	config   *site.Config
+	paths    cluster.Paths // as the directory knows them
+	record   port.Item     // of the paths
+	storeErr error         // result of every write
+	getErr   error         // result of every read
+	writes   int
+	accepted map[string]bool  // by pool and job ID
+	asked    map[string]error // answers of former pools' owners
+	calls    []string         // to owners
 }
 
 func (f *fakeSite) Directory() cluster.Directory {
@@ -78,8 +78,8 @@
 	defer p.site.mutex.Unlock()
 	p.site.calls = append(p.site.calls, p.name)
 	switch {
-	case p.site.unreached[p.name]:
-		return port.ErrNotConnected
+	case p.site.asked[p.name] != nil:
+		return p.site.asked[p.name]
 	case p.site.accepted[p.name+string(s.ID)]:
 		return nil
 	}
@@ -99,7 +99,7 @@
 
 // largeSite has 95 pools, the number in two years.
 func largeSite() *fakeSite {
-	f := &fakeSite{accepted: map[string]bool{}, unreached: map[string]bool{}, getErr: port.ErrNotFound}
+	f := &fakeSite{accepted: map[string]bool{}, asked: map[string]error{}, getErr: port.ErrNotFound}
 	f.route(1, "p0")
 	return f
 }
@@ -179,7 +179,12 @@
 		want   error
 	}{
 		{"no fault", func(*fakeSite) {}, nil},
-		{"former owner does not answer", func(f *fakeSite) { f.unreached["p0"] = true }, port.ErrUnknownOutcome},
+		{"former owner does not answer", func(f *fakeSite) { f.asked["p0"] = port.ErrNotConnected }, port.ErrUnknownOutcome},
+		{"former owner is not certain to own the pool", func(f *fakeSite) { f.asked["p0"] = port.ErrUnavailable }, port.ErrUnknownOutcome},
+		{"former owner's ring is full", func(f *fakeSite) { f.asked["p0"] = port.ErrNotAccepted }, port.ErrUnknownOutcome},
+		{"former pool is on standby", func(f *fakeSite) {
+			f.config.Pools[0].Standby, f.asked["p0"] = true, port.ErrNotConnected
+		}, nil},
 		{"store refuses", func(f *fakeSite) { f.storeErr = port.ErrRefused }, port.ErrUnknownOutcome},
 		{"store does not answer", func(f *fakeSite) { f.storeErr = errors.New("timeout") }, port.ErrUnknownOutcome},
 		{"the record was damaged", func(f *fakeSite) { f.record = port.Item{Key: cluster.KeyPaths, Value: []byte{0xff}, Revision: 9} }, nil},
@@ -209,7 +214,9 @@
 				return
 			}
 			c.Assert(err, qt.ErrorIs, test.want)
-			c.Assert(errors.Is(err, port.ErrNotAccepted), qt.IsFalse)
+			for _, notRun := range []error{port.ErrNotAccepted, port.ErrUnavailable, port.ErrNoConfig} {
+				c.Check(errors.Is(err, notRun), qt.IsFalse)
+			}
 			c.Assert(f.accepted["p1"+string(submission(2).ID)], qt.IsFalse)
 		})
 	}
--- a/internal/link/jobservice/service.go
+++ b/internal/link/jobservice/service.go
@@ -207,16 +207,20 @@
 // relinquish returns nil if a former pool of the path has accepted a submission, and ErrNoJob once it is certain that it
 // has not.
 func (s *service) relinquish(ctx context.Context, c *site.Config, pool string, sub job.Submission) error {
-	if _, ok := c.Pool(pool); !ok {
+	if p, ok := c.Pool(pool); !ok || p.Standby {
 		return s.relinquishStored(ctx, pool, sub)
 	}
-	return s.callOwner(ctx, pool, port.ErrUnknownOutcome, func(ctx context.Context, o port.PoolOwner) error {
+	err := s.callOwner(ctx, pool, port.ErrUnknownOutcome, func(ctx context.Context, o port.PoolOwner) error {
 		return o.Relinquish(ctx, sub, c.Version)
 	})
+	if err == nil || errors.Is(err, port.ErrNoJob) || errors.Is(err, port.ErrIDConflict) {
+		return err
+	}
+	return fmt.Errorf("%w: ask the former pool %s: %v", port.ErrUnknownOutcome, pool, err) //nolint:errorlint // no other error may be matched
 }
 
-// relinquishStored does the same for a pool that is no longer in the configuration. It may have no owner, so that its
-// records are read from the store.
+// relinquishStored does the same for a pool that is no longer in the configuration, or on standby. It may have no owner,
+// so that its records are read from the store.
 func (s *service) relinquishStored(ctx context.Context, pool string, sub job.Submission) error {
 	store, ok := kernel.Use[port.Store](s.host)
 	if !ok {
