Look behind task sets without room every 100 ms only

A large pool has hundreds of cycles a second in a surge, and each looked at 50 further task sets. Oversized task sets are last in the queue, so that a cycle ends at the first of them.

--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -34,9 +34,12 @@
 // during a surge, when thousands of task sets wait for the same executors.
 const maxMisses = 100
 
-// maxLaterMisses is the same for the task sets behind those. Each cycle looks at others of them, so that one for which
-// there is room is found however many wait without.
-const maxLaterMisses = 50
+// maxLaterMisses is the same for the task sets behind those. Every laterInterval a cycle looks at others of them, so that
+// one for which there is room is found however many wait without. A large pool has hundreds of cycles a second in a surge.
+const (
+	maxLaterMisses = 50
+	laterInterval  = 100 * time.Millisecond
+)
 
 // placeReady starts ready tasks in order of rank as far as there are free resources.
 func (t *transition) placeReady() {
@@ -61,6 +64,10 @@
 		t.s.scanFrom = rank{}
 		return
 	}
+	if t.s.now < t.s.laterScanAt+laterInterval {
+		return
+	}
+	t.s.laterScanAt = t.s.now
 	if (rankOrder{}).Compare(t.s.scanFrom, *next) > 0 {
 		i.Seek(t.s.scanFrom)
 	}
@@ -76,6 +83,9 @@
 	free, misses := maxFree(candidates), 0
 	for !i.Done() {
 		r, ref, _ := i.Next()
+		if r.class == classOversized {
+			return nil // nothing but such task sets follows
+		}
 		if r.class == classInTime && t.s.isLate(ref) {
 			t.s = t.s.withRank(ref.job, ref.index) // moves it to the late class, for the next cycle
 			t.s.placementDue = true
@@ -85,9 +95,7 @@
 		case placed:
 			free = maxFree(candidates)
 		case oversized:
-			if r.class != classOversized {
-				t.s = t.s.withRank(ref.job, ref.index) // the largest executor has left
-			}
+			t.s = t.s.withRank(ref.job, ref.index) // the largest executor has left
 			misses++
 		case noRoom:
 			misses++
@@ -135,10 +143,10 @@
 	}
 	ts := j.taskSets[ref.index]
 	step := j.sub.Steps[ts.step]
-	if !t.s.mayFit(step) {
-		return oversized
-	}
 	if !step.Demand().FitsIn(free) {
+		if !t.s.mayFit(step) {
+			return oversized
+		}
 		return noRoom
 	}
 	tickets, ok := t.ticketsFor(j, ref.index, candidates)
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -44,7 +44,8 @@
 	unsettled          map[string]bool          // executors that may have runs of the former owner and have not answered yet
 	settleDeadline     time.Duration            // by then the leases of those executors have expired
 	largest            map[string]job.Resources // by label, and for "" of all: the largest amount of each resource that a listed executor has
-	scanFrom           rank                     // where the next cycle goes on looking behind the first task sets without room
+	laterScanAt        time.Duration            // when a cycle has last looked behind the first task sets without room
+	scanFrom           rank                     // where the next such cycle goes on
 	lastSweep          time.Duration
 	placementDue       bool // whether the next scheduling cycle has to look for tasks to start
 }
