Log what the owner of a pool spends its time on

The logs could not tell why starts of tasks are late in a surge: a job shows how long it waited, but not whether its owner had no processor time, how much of it decisions, cycles and frames took, or whether messages waited in the owner's ring. pool.work says it once a second for an owner that is busy, and pool.lag.ms is a histogram of the time that messages wait. No decision changes.

--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -66,6 +66,9 @@
 	return out
 }
 
+// Ready returns the number of ready task sets.
+func (s State) Ready() int { return s.ready.Len() }
+
 // Load returns the load of the pool's executors and the CPU demand of the ready tasks.
 func (s State) Load() port.Load {
 	load := port.Load{Executors: map[string]port.ExecutorLoad{}}
--- a/internal/link/pool/link.go
+++ b/internal/link/pool/link.go
@@ -65,9 +65,9 @@
 }
 
 type meters struct {
-	takeover, commit, order, heartbeat metrics.Histogram
-	superseded, refusedOrders          metrics.Counter
-	unreadable, rejected               metrics.Counter
+	takeover, commit, order, heartbeat, lag metrics.Histogram
+	superseded, refusedOrders               metrics.Counter
+	unreadable, rejected                    metrics.Counter
 }
 
 // histogram returns a latency histogram in milliseconds.
@@ -83,7 +83,7 @@
 		finishedTakeovers: ring.New[claim.Attempt]("pool.taken", 64, ring.Block, h.Metrics),
 		meters: meters{
 			takeover: histogram(h.Metrics, "pool.takeover.ms"), commit: histogram(h.Metrics, "pool.commit.ms"),
-			order: histogram(h.Metrics, "pool.order.ms"), heartbeat: histogram(h.Metrics, "pool.hold.ms"),
+			order: histogram(h.Metrics, "pool.order.ms"), heartbeat: histogram(h.Metrics, "pool.hold.ms"), lag: histogram(h.Metrics, "pool.lag.ms"),
 			superseded:    metrics.GetOrRegisterCounter("pool.superseded", h.Metrics),
 			refusedOrders: metrics.GetOrRegisterCounter("pool.orders.refused", h.Metrics),
 			unreadable:    metrics.GetOrRegisterCounter("pool.unreadable", h.Metrics),
--- a/internal/link/pool/pool_owner.go
+++ b/internal/link/pool/pool_owner.go
@@ -34,7 +34,8 @@
 type poolOwner struct {
 	ownership
 	link           *link
-	messages       *ring.Ring[schedule.Message]
+	messages       *ring.Ring[queued]
+	work           work
 	commits        [schedule.Lanes]*ring.Ring[schedule.Commit]
 	advice         *ring.Ring[schedule.Advise]
 	state          atomic.Pointer[schedule.State]
@@ -59,6 +60,12 @@
 	closed    bool
 }
 
+// queued is a message and the time at which it was queued.
+type queued struct {
+	message schedule.Message
+	at      time.Time
+}
+
 // directoryView is the part of the directory that was last queued for the owner.
 type directoryView struct {
 	config    *site.Config
@@ -68,9 +75,9 @@
 func newPoolOwner(ctx context.Context, l *link, own ownership, writers []writer, s schedule.State, initialEffects []schedule.Effect) *poolOwner {
 	o := &poolOwner{
 		link: l, ownership: own, initialEffects: initialEffects,
-		messages:  ring.New[schedule.Message]("pool.messages", messageCapacity, ring.Refuse, l.host.Metrics),
-		advice:    ring.New[schedule.Advise]("pool.advice", adviceCapacity, ring.Refuse, l.host.Metrics),
-		writers:   writers,
+		messages: ring.New[queued]("pool.messages", messageCapacity, ring.Refuse, l.host.Metrics),
+		advice:   ring.New[schedule.Advise]("pool.advice", adviceCapacity, ring.Refuse, l.host.Metrics),
+		writers:  writers, work: newWork(l.host.Metrics),
 		lostCalls: ring.New[*port.ExecutorCall]("pool.lost", lostCapacity, ring.Refuse, l.host.Metrics),
 		done:      make(chan struct{}), handed: make(chan struct{}), conns: map[string]*executorConn{}, relays: map[string]*relayConn{}, suspected: map[string]time.Duration{}, replies: map[uint64]*ring.Ring[schedule.Answer]{},
 	}
@@ -120,9 +127,9 @@
 		case <-ctx.Done():
 			return
 		case m := <-o.messages.Items():
-			o.step(ctx, m)
+			o.stepQueued(ctx, m)
 			for n := 1; n < maxBatch && o.messages.Len() > 0; n++ {
-				o.step(ctx, <-o.messages.Items())
+				o.stepQueued(ctx, <-o.messages.Items())
 			}
 		case call := <-o.lostCalls.Items():
 			o.retryLost(ctx, *call)
@@ -134,20 +141,37 @@
 			}
 			o.step(ctx, schedule.Tick{Now: now, Unix: time.Now().UnixMilli()})
 		}
-		o.step(ctx, schedule.RunCycle{Now: clock.SinceBoot()})
+		now := clock.SinceBoot()
+		o.step(ctx, schedule.RunCycle{Now: now})
+		o.work.report(o.link.log, o, now)
 	}
 }
 
+// stepQueued processes a message from the ring.
+func (o *poolOwner) stepQueued(ctx context.Context, m queued) {
+	lag := time.Since(m.at)
+	o.link.meters.lag.Update(lag.Milliseconds())
+	o.work.lag = max(o.work.lag, lag)
+	o.step(ctx, m.message)
+}
+
 // step processes a message. A message that makes the decision panic leaves the state as it was and is rejected.
 func (o *poolOwner) step(ctx context.Context, m schedule.Message) {
 	var s schedule.State
 	var effects []schedule.Effect
-	if err := guard.Call(func() { s, effects = schedule.Step(*o.state.Load(), m) }); err != nil {
+	began := time.Now()
+	err := guard.Call(func() { s, effects = schedule.Step(*o.state.Load(), m) })
+	o.work.add(stageOf(m), began)
+	if err != nil {
 		o.reject(ctx, m, err)
 		return
 	}
 	o.state.Store(&s)
-	o.perform(ctx, effects)
+	if len(effects) > 0 {
+		began = time.Now()
+		o.perform(ctx, effects)
+		o.work.add(stagePerform, began)
+	}
 }
 
 // reject replaces a message that could not be processed. It steps down if nothing can replace it.
@@ -216,10 +240,11 @@
 // enqueue queues a message for run. If the ring is full, a goroutine waits for room, so that no result of an effect is
 // lost.
 func (o *poolOwner) enqueue(ctx context.Context, m schedule.Message) {
-	if err := o.messages.Push(ctx, m); err == nil || !errors.Is(err, ring.ErrFull) {
+	q := queued{message: m, at: time.Now()}
+	if err := o.messages.Push(ctx, q); err == nil || !errors.Is(err, ring.ErrFull) {
 		return
 	}
-	go func() { _ = o.messages.PushWait(ctx, m) }() // fails only when the owner is stopped
+	go func() { _ = o.messages.PushWait(ctx, q) }() // fails only when the owner is stopped
 }
 
 // updateDirectory queues the changes of the configuration and of the pool's executors.
@@ -276,7 +301,7 @@
 	token := o.lastToken
 	o.replies[token] = reply
 	o.mutex.Unlock()
-	if err := o.messages.Push(ctx, message(token)); err != nil {
+	if err := o.messages.Push(ctx, queued{message: message(token), at: time.Now()}); err != nil {
 		o.dropReply(token)
 		return schedule.Answer{}, port.ErrNotAccepted
 	}
--- a/internal/link/relay/client.go
+++ b/internal/link/relay/client.go
@@ -160,6 +160,7 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", errClosed, err)
 		}
+		began := time.Now()
 		var f callFrame
 		for _, id := range c.takeForgotten() {
 			if key, ok := keys[id]; ok {
@@ -184,7 +185,9 @@
 			}
 			call = <-c.queue.Items()
 		}
-		if err := write(ctx, conn, encode(f)); err != nil {
+		data := encode(f)
+		c.link.encoded.Inc(time.Since(began).Microseconds())
+		if err := write(ctx, conn, data); err != nil {
 			return err
 		}
 	}
@@ -205,6 +208,7 @@
 		if err != nil {
 			return err
 		}
+		began := time.Now()
 		var f replyFrame
 		if err := cbor.Unmarshal(data, &f); err != nil {
 			return fmt.Errorf("%w: %w", errFrame, err)
@@ -214,6 +218,7 @@
 				return err
 			}
 		}
+		c.link.decoded.Inc(time.Since(began).Microseconds())
 	}
 }
 
--- a/internal/link/relay/link.go
+++ b/internal/link/relay/link.go
@@ -48,6 +48,8 @@
 	executors *executors
 	lost      metrics.Counter
 	calls     metrics.Counter
+
+	encoded, decoded metrics.Counter // microseconds spent on the frames of this daemon's own relays
 }
 
 func build(h *kernel.Host, s Settings) ([]kernel.Duty, error) {
@@ -59,6 +61,9 @@
 		host: h, log: h.Log.With("plugin", Name), settings: s, executors: newExecutors(),
 		lost:  metrics.GetOrRegisterCounter("relay.lost", h.Metrics),
 		calls: metrics.GetOrRegisterCounter("relay.calls", h.Metrics),
+
+		encoded: metrics.GetOrRegisterCounter("relay.encode.us", h.Metrics),
+		decoded: metrics.GetOrRegisterCounter("relay.decode.us", h.Metrics),
 	}
 	handlers.HandlePeer("GET "+path, http.HandlerFunc(l.accept))
 	kernel.Provide[port.Relays](h, l)
