--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -9,6 +9,7 @@
 	_ "teaselloft/internal/bench/link"
 	_ "teaselloft/internal/bench/planner"
 	_ "teaselloft/internal/bench/platform"
+	_ "teaselloft/internal/bench/surge"
 )
 
 func main() {
