Measure the processor time of an owner's decisions in the emulator

surge.decision is the processor time of the decisions for each task that starts, in a pool of 390 executors and 330 jobs a second, the load of a pool of the large deployment in a surge.

--- a/internal/bench/surge/callers.go
+++ b/internal/bench/surge/callers.go
@@ -63,7 +63,7 @@
 	token := c.lastToken
 	c.tokens[token] = s
 	c.after(networkTime, func() {
-		c.owner.send(schedule.Submit{Token: token, Now: c.now, Unix: unix(c.now), Submission: s.Submission, Version: 1})
+		c.owner.send(schedule.Submit{Token: token, Now: c.now, Unix: unixMilli(c.now), Submission: s.Submission, Version: 1})
 	})
 	c.after(callTimeout, func() {
 		if _, ok := c.tokens[token]; ok {
--- a/internal/bench/surge/owner.go
+++ b/internal/bench/surge/owner.go
@@ -1,10 +1,13 @@
 package surge
 
 import (
+	"fmt"
 	"time"
 
 	"teaselloft/internal/decision/schedule"
 	"teaselloft/internal/model/port"
+
+	"golang.org/x/sys/unix"
 )
 
 // Processor time that the modeled owner spends. It is some ten times what a core of the users' machines needs, so that a
@@ -41,7 +44,9 @@
 	busy     bool
 	pool     *pool
 	callers  *callers
-	handling time.Duration // processor time spent
+	speed    float64
+	handling time.Duration // processor time spent, by the model
+	measured time.Duration // processor time of this machine that the decisions took
 }
 
 // send queues a message.
@@ -59,7 +64,9 @@
 	var cost time.Duration
 	var effects []schedule.Effect
 	step := func(m schedule.Message) {
+		began := threadTime()
 		s, e := schedule.Step(o.state, m)
+		o.measured += threadTime() - began
 		o.state, effects = s, append(effects, e...)
 		cost += costOf(m, e)
 	}
@@ -69,6 +76,7 @@
 	}
 	o.queue = append([]queued(nil), o.queue[n:]...)
 	step(schedule.RunCycle{Now: o.now})
+	cost = time.Duration(float64(cost) / o.speed)
 	o.handling += cost
 	o.after(cost, func() {
 		o.busy = false
@@ -79,6 +87,15 @@
 	})
 }
 
+// threadTime returns the processor time of this thread.
+func threadTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
+		panic(fmt.Sprintf("read CLOCK_THREAD_CPUTIME_ID: %v", err))
+	}
+	return time.Duration(t.Nano())
+}
+
 func costOf(m schedule.Message, effects []schedule.Effect) time.Duration {
 	cost := otherCost
 	switch m.(type) {
@@ -127,8 +144,8 @@
 
 // tick sends ticks until the end of the run.
 func (o *owner) tick() {
-	o.send(schedule.Tick{Now: o.now, Unix: unix(o.now)})
+	o.send(schedule.Tick{Now: o.now, Unix: unixMilli(o.now)})
 	o.after(tickInterval, o.tick)
 }
 
-func unix(now time.Duration) int64 { return 1_700_000_000_000 + now.Milliseconds() }
+func unixMilli(now time.Duration) int64 { return 1_700_000_000_000 + now.Milliseconds() }
--- a/internal/bench/surge/pool.go
+++ b/internal/bench/surge/pool.go
@@ -12,10 +12,9 @@
 
 // The pool's executors have room for more tasks than the owner can start.
 const (
-	poolName      = "p"
-	poolExecutors = 60
-	executorCPU   = 160_000 // millicores
-	born          = 1000
+	poolName    = "p"
+	executorCPU = 160_000 // millicores
+	born        = 1000
 )
 
 // executor is a simulated executor. It delays the answer to a heartbeat until a run ends.
@@ -35,9 +34,9 @@
 	starts    int
 }
 
-func newPool(a *agenda) *pool {
+func newPool(a *agenda, executors int) *pool {
 	p := &pool{agenda: a, executors: map[string]*executor{}}
-	for i := range poolExecutors {
+	for i := range executors {
 		id := fmt.Sprintf("i-%03d", i)
 		p.executors[id] = &executor{runs: map[job.Task]port.ActiveRun{}}
 		p.listed = append(p.listed, site.Executor{
--- a/internal/bench/surge/surge.go
+++ b/internal/bench/surge/surge.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"time"
 
 	"teaselloft/internal/core/measure"
@@ -21,6 +22,14 @@
 // begin is the time at which the callers begin, after the owner has connected to its executors.
 const begin = 2 * time.Second
 
+// Load describes a surge.
+type Load struct {
+	Rate      float64 // jobs submitted a second
+	Executors int
+	Speed     float64 // of the owner's processor, as a multiple of the modeled one
+	Seed      uint64
+}
+
 // Result is what came of a surge.
 type Result struct {
 	Offered    float64 // jobs submitted a second
@@ -28,16 +37,19 @@
 	Late       float64 // jobs a second that ended late
 	Refused    int     // attempts that were refused
 	Unanswered int     // attempts that got no answer in time
-	Busy       float64 // share of the time for which the owner used its processor
+	Busy       float64 // share of the time for which the owner used its processor, by the model
+	Decision   float64 // microseconds of this machine's processor that the decisions took for each task that was started
 }
 
-// Run plays a surge with a number of jobs a second.
-func Run(rate float64, seed uint64) Result {
+// Run plays a surge.
+func Run(l Load) Result {
+	runtime.LockOSThread() // whose processor time is measured
+	defer runtime.UnlockOSThread()
 	a := &agenda{now: time.Second}
-	p := newPool(a)
-	o := &owner{agenda: a, pool: p}
+	p := newPool(a, l.Executors)
+	o := &owner{agenda: a, pool: p, speed: l.Speed}
 	c := &callers{
-		agenda: a, owner: o, random: rand.New(rand.NewPCG(seed, 1)), rate: rate, until: begin + Length,
+		agenda: a, owner: o, random: rand.New(rand.NewPCG(l.Seed, 1)), rate: l.Rate, until: begin + Length,
 		tokens: map[uint64]*submission{}, jobs: map[job.ID]*submission{},
 	}
 	p.owner, o.callers = o, c
@@ -45,7 +57,7 @@
 		Version: 1, Pools: []site.Pool{{Name: poolName}},
 		Queues: []site.Queue{{Name: "q", Pool: poolName, Attempts: 3, Stretch: 1.6, Target: 600 * time.Millisecond}},
 	}
-	s := schedule.New(poolName, 1, schedule.DefaultPolicy(6*time.Second), a.now, unix(a.now)).WithConfirmation(a.now)
+	s := schedule.New(poolName, 1, schedule.DefaultPolicy(6*time.Second), a.now, unixMilli(a.now)).WithConfirmation(a.now)
 	s, effects := schedule.Recover(s, config, schedule.Stored{Listed: p.listed})
 	o.state = s
 	for _, e := range effects {
@@ -53,16 +65,24 @@
 	}
 	o.tick()
 	a.run(begin)
-	before := o.handling
+	before, startsBefore := o.handling, p.starts
+	o.measured = 0
 	c.arrive()
 	a.run(begin + Length)
 	perSecond := func(n int) float64 { return float64(n) / Length.Seconds() }
 	return Result{
 		Offered: perSecond(len(c.jobs)), InTime: perSecond(c.inTime), Late: perSecond(c.late), Refused: c.refusals, Unanswered: c.unanswered,
-		Busy: (o.handling - before).Seconds() / Length.Seconds(),
+		Busy:     (o.handling - before).Seconds() / Length.Seconds(),
+		Decision: float64(o.measured.Microseconds()) / float64(max(1, p.starts-startsBefore)),
 	}
 }
 
+// Saturating returns the load of a small pool with an owner that is saturated by 120 jobs a second.
+func Saturating(rate float64) Load { return Load{Rate: rate, Executors: 60, Speed: 1, Seed: Seed} }
+
+// Large returns the load of a pool of the users' largest deployment in a surge, with an owner that is never saturated.
+func Large() Load { return Load{Rate: 330, Executors: 390, Speed: 100, Seed: Seed} }
+
 // Rates are the numbers of jobs a second that are compared. The third one saturates the owner.
 var Rates = []float64{60, 90, 120, 180, 240, 360}
 
@@ -77,12 +97,13 @@
 			var list []measure.Result
 			best, last := 0.0, 0.0
 			for _, rate := range Rates {
-				r := Run(rate, Seed)
+				r := Run(Saturating(rate))
 				best, last = max(best, r.InTime), r.InTime
 				list = append(list, measure.Result{Name: "surge.intime", Value: r.InTime, Unit: "jobs/s", Baseline: r.Offered, Bound: math.NaN()})
 			}
 			lost := measure.Result{Name: "surge.lost", Value: 1 - last/best, Unit: "share", Baseline: math.NaN(), Bound: 1 - minGoodput}
-			return append(list, lost), nil
+			cost := measure.Result{Name: "surge.decision", Value: Run(Large()).Decision, Unit: "us/start", Baseline: math.NaN(), Bound: math.NaN()}
+			return append(list, lost, cost), nil
 		},
 	})
 }
