Keep the executors of a pool in a table of chunks

Each message changes an executor several times, and each change copied the path in a sorted tree; job IDs were hashed with reflection.

--- a/internal/decision/schedule/ownership.go
+++ b/internal/decision/schedule/ownership.go
@@ -176,12 +176,13 @@
 		}
 	}
 	runs := 0
-	for i := s.executors.Iterator(); !i.Done(); {
-		_, e, _ := i.Next()
-		if e.awaitsLapse(s.now) {
-			return true
-		}
+	lapsing := false
+	s.eachExecutor(func(e *executorState) {
+		lapsing = lapsing || e.awaitsLapse(s.now)
 		runs += len(e.runs)
+	})
+	if lapsing {
+		return true
 	}
 	age := s.now - s.confirmedAt
 	if runs == 0 && s.ready.Len() == 0 {
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -6,10 +6,12 @@
 	"strings"
 	"time"
 
+	"teaselloft/internal/core/table"
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/site"
 
 	"github.com/benbjohnson/immutable"
+	"github.com/cespare/xxhash/v2"
 )
 
 // State holds the jobs and executors of a pool as its owner knows them. It is immutable.
@@ -22,7 +24,7 @@
 	config             *site.Config
 	moved              *immutable.Map[string, int64] // by path: version of a newer configuration that routes it to another pool
 	jobs               *immutable.Map[job.ID, *jobState]
-	executors          *immutable.SortedMap[string, *executorState]
+	executors          table.Table[executorState] // by ID
 	ready              *immutable.SortedMap[rank, taskSetRef]
 	changed            *immutable.SortedMap[uint64, job.ID] // jobs with unstored changes, by generation
 	unreadable         *immutable.Map[job.ID, struct{}]     // jobs whose record in the store can't be decoded
@@ -99,6 +101,15 @@
 	index     int
 }
 
+// idHasher implements immutable.Hasher. The default one uses reflection for a type of string.
+type idHasher struct{}
+
+// Hash implements immutable.Hasher.
+func (idHasher) Hash(id job.ID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
+
+// Equal implements immutable.Hasher.
+func (idHasher) Equal(a, b job.ID) bool { return a == b }
+
 type rankOrder struct{}
 
 // Compare implements immutable.Comparer.
@@ -114,12 +125,11 @@
 		Pool: pool, Epoch: epoch, policy: p, now: now, unixMilli: unixMilli, recoveredAt: now,
 		config:    &site.Config{},
 		moved:     immutable.NewMap[string, int64](nil),
-		jobs:      immutable.NewMap[job.ID, *jobState](nil),
-		executors: immutable.NewSortedMap[string, *executorState](nil),
+		jobs:      immutable.NewMap[job.ID, *jobState](idHasher{}),
 		ready:     immutable.NewSortedMap[rank, taskSetRef](rankOrder{}),
 		changed:   immutable.NewSortedMap[uint64, job.ID](nil),
-		repeating: immutable.NewMap[job.ID, int](nil), unreadable: immutable.NewMap[job.ID, struct{}](nil),
-		ended:     immutable.NewMap[job.ID, struct{}](nil),
+		repeating: immutable.NewMap[job.ID, int](idHasher{}), unreadable: immutable.NewMap[job.ID, struct{}](idHasher{}),
+		ended:     immutable.NewMap[job.ID, struct{}](idHasher{}),
 		unsettled: map[string]time.Duration{}, former: formerEnded{},
 	}
 }
@@ -148,16 +158,13 @@
 }
 
 func (s State) withExecutor(e executorState) State {
-	s.executors = s.executors.Set(e.info.ID, &e)
+	s.executors = s.executors.With(e.info.ID, &e)
 	return s
 }
 
 // eachExecutor calls f for each executor, ordered by ID. f must not change the executor.
 func (s State) eachExecutor(f func(*executorState)) {
-	for i := s.executors.Iterator(); !i.Done(); {
-		_, e, _ := i.Next()
-		f(e)
-	}
+	s.executors.Each(f)
 }
 
 // withChange stores a changed job in the state and marks it for the next commit.
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -119,7 +119,7 @@
 		t.s = t.s.withExecutor(e)
 	}
 	if !e.listed && len(e.runs) == 0 && (e.failingSince != 0 || !e.open) && !t.s.isUnsettled(e.info.ID) {
-		t.s.executors = t.s.executors.Delete(e.info.ID)
+		t.s.executors = t.s.executors.Without(e.info.ID)
 		t.s.usedChanged = true
 		t.emit(Disconnect{Executor: e.info.ID}, note(slog.LevelInfo, "executor.gone", "executor", e.info.ID))
 		return
