--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -322,7 +322,7 @@
 	j.outcome = final
 	t.s = t.s.withJob(j)
 	t.s = t.s.withAllRanks(id) // deletes its task sets from the ready queue
-	t.stopJobRuns(id)
+	t.stopJobRuns(j)
 	t.answer(cancelResult(final), j.cancelTokens)
 	if j.dirtyGeneration != 0 {
 		t.s.changed = t.s.changed.Delete(j.dirtyGeneration)
--- a/internal/decision/schedule/ended.go
+++ b/internal/decision/schedule/ended.go
@@ -92,7 +92,8 @@
 	_, x, _ := t.findTask(task)
 	other, run := x.executor, x.run
 	t.updateTask(task, func(x taskState) taskState {
-		return taskState{phase: done, run: x.run, failedRuns: x.failedRuns}
+		// A member of a gang may still be listed there when the job ends.
+		return taskState{phase: done, run: x.run, failedRuns: x.failedRuns, executor: x.executor}
 	})
 	if x.run != ended && (x.phase == starting || x.phase == running) { // an earlier run has finished, so the current one is not needed
 		if e, ok := t.s.executor(other); ok {
--- a/internal/decision/schedule/gang_test.go
+++ b/internal/decision/schedule/gang_test.go
@@ -76,3 +76,32 @@
 	c.Assert(starts, qt.HasLen, 1)
 	c.Assert(starts[0].Task.Step, qt.Equals, 1)
 }
+
+// Guards against a member of a gang that goes on running after its job has ended, because another member ended first.
+func TestEndOfJobStopsGangMembers(t *testing.T) {
+	c := qt.New(t)
+	sub := gangJob()
+	sub.Steps = []job.Step{{Count: 2, Gang: true, Need: job.Resources{CPU: 100}, Estimate: time.Second}}
+	p := newSingleExecutor(oneQueue, sub)
+	p.heartbeat()
+	starts := p.startsWithin(time.Second, nil)
+	c.Assert(starts, qt.HasLen, 2)
+	effects := p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: port.ExecutorReport{
+		Clock: p.now.Milliseconds(), Runs: []port.ActiveRun{{Task: starts[1].Task, Run: starts[1].Run}},
+		Ended: []port.EndedRun{{Number: 1, Task: starts[0].Task, Run: starts[0].Run, Outcome: job.OutcomeDone}},
+	}})
+	for range 4 {
+		p.now += 50 * time.Millisecond
+		effects = append(effects, p.step(schedule.RunCycle{Now: p.now})...)
+		for _, x := range commits(effects) {
+			effects = append(effects, p.step(schedule.CommitResult{Now: p.now, Number: x.Number})...)
+		}
+	}
+	var stopped []job.Task
+	for _, e := range effects {
+		if x, ok := e.(schedule.StopRun); ok {
+			stopped = append(stopped, x.Stop.Task)
+		}
+	}
+	c.Assert(stopped, qt.DeepEquals, []job.Task{starts[1].Task})
+}
--- a/internal/decision/schedule/order.go
+++ b/internal/decision/schedule/order.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"log/slog"
-	"slices"
 	"time"
 
 	"teaselloft/internal/model/job"
@@ -27,22 +26,20 @@
 	return e.withRun(r)
 }
 
-// stopJobRuns stops all runs of a job.
-func (t *transition) stopJobRuns(id job.ID) {
-	t.s.eachExecutor(func(x *executorState) {
-		if !slices.ContainsFunc(x.runs, func(r runState) bool { return r.task.Job == id }) {
-			return
-		}
-		e, changed := *x, false
-		for i, r := range e.runs {
-			if r.task.Job == id && r.phase != stopping {
-				e, changed = t.stopRun(e, i), true
+// stopJobRuns stops the last run of each task of a job. Earlier runs are being stopped already.
+func (t *transition) stopJobRuns(j jobState) {
+	for _, ts := range j.taskSets {
+		for index, x := range ts.tasks {
+			e, ok := t.s.executor(x.executor)
+			if !ok {
+				continue
+			}
+			i := e.findRun(job.Task{Job: j.sub.ID, Occurrence: ts.occurrence, Step: ts.step, Index: index}, x.run)
+			if i >= 0 && e.runs[i].phase != stopping {
+				t.s = t.s.withExecutor(t.stopRun(e, i))
 			}
 		}
-		if changed {
-			t.s = t.s.withExecutor(e)
-		}
-	})
+	}
 }
 
 func (t *transition) handleOrderResult(m OrderResult) {
