Change the state once for all tasks of a step that start

Each task that started copied its executor, its task set, its job and the rank of the task set; each look at an executor copied the whole placement, and all runs of all executors were searched for runs of unknown jobs.

--- a/internal/decision/schedule/ended.go
+++ b/internal/decision/schedule/ended.go
@@ -31,7 +31,7 @@
 		}
 	}
 	t.s = t.s.withExecutor(e)
-	t.emit(note(level, "run.ended", "task", end.Task.String(), "run", end.Run, "executor", id, "how", end.Outcome.String()))
+	t.emit(note(level, "run.ended", "task", end.Task, "run", end.Run, "executor", id, "how", end.Outcome))
 	// A task that is done by its stored progress has no run.
 	if end.Outcome == job.OutcomeDone && ok && !longRunning && x.run != 0 && x.run != end.Run && x.phase != waiting {
 		t.emit(note(slog.LevelWarn, "run.repeated", "task", end.Task.String(), "run", end.Run, "executor", id,
--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -50,6 +50,7 @@
 	nextHeartbeatAt   time.Duration // when a heartbeat that waits for a write is sent at the latest; 0 if none waits
 	runs              []runState
 	allocated         job.Resources // resources of all runs, stopping ones included
+	strays            int           // number of runs of unknown jobs
 	faults            float64       // failed runs minus successful runs, at least 0
 	quarantinedUntil  time.Duration // no tasks are started on it before
 	vacateUntil       time.Duration // no tasks are started before, and its runs are moved away
@@ -76,17 +77,20 @@
 func (e executorState) withRun(r runState) executorState {
 	if i := e.findRun(r.task, r.run); i >= 0 {
 		e.allocated = e.allocated.Minus(e.runs[i].need).Plus(r.need)
+		e.strays += boolToInt(r.stray) - boolToInt(e.runs[i].stray)
 		e.runs = slices.Clone(e.runs)
 		e.runs[i] = r
 		return e
 	}
 	e.allocated = e.allocated.Plus(r.need)
+	e.strays += boolToInt(r.stray)
 	e.runs = append(slices.Clip(e.runs), r)
 	return e
 }
 
 func (e executorState) withoutRun(i int) executorState {
 	e.allocated = e.allocated.Minus(e.runs[i].need)
+	e.strays -= boolToInt(e.runs[i].stray)
 	e.runs = slices.Delete(slices.Clone(e.runs), i, i+1)
 	return e
 }
@@ -125,11 +129,8 @@
 // accepts the former owner. Only a successful commit that was sent after its first answer proves that no other owner
 // uses it.
 func (s State) usable(e *executorState) bool {
-	if !e.open || s.confirmedAt <= e.openedAt || !s.isRecorded(e) || s.isReleased(e.info.ID) || !e.listed || e.info.Draining || e.failingSince != 0 ||
-		s.now < e.vacateUntil || s.now < e.quarantinedUntil {
-		return false
-	}
-	return !slices.ContainsFunc(e.runs, func(r runState) bool { return r.stray })
+	return e.open && s.confirmedAt > e.openedAt && e.listed && !e.info.Draining && e.failingSince == 0 && e.strays == 0 &&
+		s.now >= e.vacateUntil && s.now >= e.quarantinedUntil && s.isRecorded(e) && !s.isReleased(e.info.ID)
 }
 
 // Silent returns the executors that do not answer, or have not answered this owner yet, and may have runs.
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -1,9 +1,9 @@
 package schedule
 
 import (
-	"fmt"
 	"log/slog"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -17,6 +17,21 @@
 type candidate struct {
 	executor *executorState
 	free     job.Resources
+	changed  bool // executor is a copy that the state does not contain yet
+}
+
+// addRun adds a run that is ordered to start.
+func (c *candidate) addRun(r runState, leaseExpires int64) {
+	if !c.changed {
+		e := *c.executor
+		e.runs = append(make([]runState, 0, len(e.runs)+4), e.runs...)
+		c.executor, c.changed = &e, true
+	}
+	e := c.executor
+	e.runs = append(e.runs, r)
+	e.allocated = e.allocated.Plus(r.need)
+	e.leaseExpires = max(e.leaseExpires, leaseExpires)
+	c.free = c.free.Minus(r.need)
 }
 
 // candidates returns the executors on which tasks may be started.
@@ -153,7 +168,7 @@
 	if !ok {
 		return deferred
 	}
-	p := placement{step: step, need: step.Demand(), taskSet: ts, job: j, tickets: tickets, rack: t.s.rackOf(ts), now: t.s.now}
+	p := &placement{step: step, need: step.Demand(), taskSet: ts, job: j, tickets: tickets, rack: t.s.rackOf(ts), now: t.s.now}
 	var started bool
 	if step.Gang {
 		started = t.placeGang(candidates, p)
@@ -179,8 +194,9 @@
 }
 
 // placeTasks starts the waiting tasks of a task set one by one, as far as there are free resources.
-func (t *transition) placeTasks(candidates []candidate, p placement) (started bool) {
-	var names []string
+func (t *transition) placeTasks(candidates []candidate, p *placement) (started bool) {
+	var chosen []chosenTask
+	var last *candidate // of the task before, if it is the best one for the next task, too
 	for index, x := range p.taskSet.tasks {
 		if x.phase != waiting {
 			continue
@@ -189,24 +205,61 @@
 			t.s.placementDue = true
 			continue
 		}
-		c := p.best(candidates, x)
+		c := last
+		if c == nil || x.failedOn != "" || !p.feasible(c) {
+			c = p.best(candidates, x)
+		}
 		if c == nil {
 			break
 		}
-		t.startTask(c, p, index, x.run)
+		last = nil
+		if p.packs() && x.failedOn == "" {
+			last = c
+		}
+		chosen = append(chosen, p.choose(t.s, c, index, x.run))
 		p.rack = c.executor.info.Rack()
-		names = append(names, fmt.Sprintf("%d:%s", index, c.executor.info.ID))
 	}
-	if len(names) == 0 {
+	if len(chosen) == 0 {
 		return false
 	}
+	t.startTasks(p, chosen)
 	t.emit(note(slog.LevelInfo, "step.started", "job", string(p.job.sub.ID), "occurrence", p.taskSet.occurrence, "step", p.taskSet.step,
-		"tasks", strings.Join(names, ","), "left", p.taskSet.waiting-len(names), "waited", t.s.now-p.taskSet.due, "late", t.s.now > p.job.latestStart(p.taskSet)))
+		"tasks", startedTasks(chosen), "left", p.taskSet.waiting-len(chosen), "waited", t.s.now-p.taskSet.due, "late", t.s.now > p.job.latestStart(p.taskSet)))
 	return true
 }
 
+// packs reports whether the executor that is best for one task of the step is also the best for the next one, as long as
+// there is room: the fullest executor only becomes fuller.
+func (p *placement) packs() bool {
+	return !p.step.BestEffort && !p.step.LongRunning && p.step.MaxPerExecutor == 0
+}
+
+// chosenTask is a task with the executor that is chosen for it and the number of its run.
+type chosenTask struct {
+	on    *candidate
+	index int
+	run   uint64
+}
+
+// startedTasks lists started tasks in logs. Its text is only built if the line is written.
+type startedTasks []chosenTask
+
+// String returns the index of each task and its executor.
+func (x startedTasks) String() string {
+	var b strings.Builder
+	for i, c := range x {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.Itoa(c.index))
+		b.WriteByte(':')
+		b.WriteString(c.on.executor.info.ID)
+	}
+	return b.String()
+}
+
 // placeGang starts all tasks of a gang with the same run number, or none of them.
-func (t *transition) placeGang(candidates []candidate, p placement) bool {
+func (t *transition) placeGang(candidates []candidate, p *placement) bool {
 	var run uint64
 	for _, x := range p.taskSet.tasks {
 		if x.phase != waiting || x.notBefore > t.s.now {
@@ -235,9 +288,11 @@
 	if len(chosen) < len(p.taskSet.tasks) {
 		return false
 	}
+	gang := make([]chosenTask, 0, len(chosen))
 	for index, c := range chosen {
-		t.startTask(c, p, index, run)
+		gang = append(gang, p.choose(t.s, c, index, run))
 	}
+	t.startTasks(p, gang)
 	return true
 }
 
@@ -256,7 +311,7 @@
 const slownessLimit = 2.0
 
 // best returns the feasible candidate with the lowest score for a task, or nil if there is none.
-func (p placement) best(candidates []candidate, x taskState) *candidate {
+func (p *placement) best(candidates []candidate, x taskState) *candidate {
 	var best *candidate
 	var bestScore int64
 	for i := range candidates {
@@ -271,7 +326,7 @@
 	return best
 }
 
-func (p placement) feasible(c *candidate) bool {
+func (p *placement) feasible(c *candidate) bool {
 	if !p.need.FitsIn(c.free) {
 		return false
 	}
@@ -294,7 +349,7 @@
 }
 
 // siblings returns the number of runs of the same task set on a candidate.
-func (p placement) siblings(c *candidate) int {
+func (p *placement) siblings(c *candidate) int {
 	n := 0
 	for _, r := range c.executor.runs {
 		if r.task.Job == p.job.sub.ID && r.task.Occurrence == p.taskSet.occurrence && r.task.Step == p.taskSet.step {
@@ -306,7 +361,7 @@
 
 // score returns the cost of placing a task on a candidate, based on the millicores that would be left. The shifted terms
 // and penalties are large enough to outweigh them.
-func (p placement) score(c *candidate, x taskState) int64 {
+func (p *placement) score(c *candidate, x taskState) int64 {
 	const slowPenalty, rackPenalty, retryPenalty = 1 << 40, 1 << 38, 1 << 39
 	left := c.free.Minus(p.need)
 	score := left.CPU // best fit: prefers the fullest executor, which keeps room for large tasks
@@ -330,31 +385,46 @@
 	return score
 }
 
-// startTask orders a run of a task on a candidate.
-func (t *transition) startTask(c *candidate, p placement, index int, lastRun uint64) {
-	task := job.Task{Job: p.job.sub.ID, Occurrence: p.taskSet.occurrence, Step: p.taskSet.step, Index: index}
-	run := max(lastRun, (t.s.Epoch-1)*runsPerEpoch) + 1
-	e, _ := t.s.executor(c.executor.info.ID)
-	s := port.Start{
-		Task: task, Run: run, Spec: p.job.sub.Spec, FencingToken: t.s.Epoch,
-		Expires: e.localTime(t.s.now) + t.s.policy.StartExpiry.Milliseconds(),
-		Ticket:  p.tickets[e.info.ID],
-	}
-	e.leaseExpires = max(e.leaseExpires, s.Expires)
-	e = e.withRun(runState{
-		task: task, run: run, need: p.need, phase: starting, since: t.s.now, lastOrderAt: t.s.now, speed: 100,
+// choose adds a run of a task to the runs of a candidate.
+func (p *placement) choose(s State, c *candidate, index int, lastRun uint64) chosenTask {
+	run := max(lastRun, (s.Epoch-1)*runsPerEpoch) + 1
+	c.addRun(runState{
+		task: p.task(index), run: run, need: p.need, phase: starting, since: s.now, lastOrderAt: s.now, speed: 100,
 		longRunning: p.step.LongRunning, serving: p.step.LatencySensitive(), bestEffort: p.step.BestEffort, latencyTarget: p.step.LatencyTarget, estimate: p.step.Estimate,
-	})
-	t.s = t.s.withExecutor(e)
-	c.executor, c.free = &e, c.free.Minus(p.need)
-	t.updateTask(task, func(x taskState) taskState {
-		s.Checkpoint = x.checkpoint
-		x.phase, x.run, x.executor, x.since = starting, run, e.info.ID, t.s.now
-		return x
-	})
-	if j, ok := t.s.job(task.Job); ok && !j.started {
-		j.started = true
-		t.s = t.s.withJob(j)
+	}, s.startExpires(c.executor))
+	return chosenTask{on: c, index: index, run: run}
+}
+
+func (p *placement) task(index int) job.Task {
+	return job.Task{Job: p.job.sub.ID, Occurrence: p.taskSet.occurrence, Step: p.taskSet.step, Index: index}
+}
+
+// startExpires returns the time on an executor's clock until which a start order that is sent now has an effect.
+func (s State) startExpires(e *executorState) int64 {
+	return e.localTime(s.now) + s.policy.StartExpiry.Milliseconds()
+}
+
+// startTasks orders the runs of chosen tasks of a task set. Their changes to the state are made together, because one at a
+// time copies the task set and an executor for each task.
+func (t *transition) startTasks(p *placement, chosen []chosenTask) {
+	j, ts := p.job, p.taskSet
+	ts.tasks = slices.Clone(ts.tasks)
+	for _, c := range chosen {
+		x := &ts.tasks[c.index]
+		e := c.on.executor
+		t.emit(StartRun{Executor: e.info.ID, Start: port.Start{
+			Task: p.task(c.index), Run: c.run, Spec: j.sub.Spec, FencingToken: t.s.Epoch, Expires: t.s.startExpires(e),
+			Ticket: p.tickets[e.info.ID], Checkpoint: x.checkpoint,
+		}})
+		x.phase, x.run, x.executor, x.since = starting, c.run, e.info.ID, t.s.now
+		if c.on.changed {
+			c.on.changed = false
+			t.s.executors = t.s.executors.With(e.info.ID, e)
+		}
 	}
-	t.emit(StartRun{Executor: e.info.ID, Start: s})
+	ts.waiting -= len(chosen)
+	j.started = true
+	index, _ := j.taskSetIndex(p.task(0))
+	t.s = t.s.withJob(j.withTaskSet(index, ts))
+	t.s = t.s.withRank(j.sub.ID, index)
 }
--- a/internal/decision/schedule/place_test.go
+++ b/internal/decision/schedule/place_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,3 +84,15 @@
 		c.Check(runs, qt.HasLen, 0, qt.Commentf("gang that does not fit"))
 	})
 }
+
+// Guards against tasks of one step that spread over executors although one has room: the choice for one task is reused for
+// the next one, and must be the one that a search would make.
+func TestTasksOfStepFillExecutors(t *testing.T) {
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		used := runsByExecutor(t, job.Step{Count: 6, Need: job.Resources{CPU: 1000}})
+		c.Assert(slices.Sorted(maps.Values(used)), qt.DeepEquals, []int{2, 4})
+		apart := runsByExecutor(t, job.Step{Count: 6, Need: job.Resources{CPU: 1000}, MaxPerExecutor: 2})
+		c.Assert(slices.Sorted(maps.Values(apart)), qt.DeepEquals, []int{2, 2, 2})
+	})
+}
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -301,7 +301,7 @@
 	}
 }
 
-// updateTask applies change to a task and updates the rank of its task set.
+// updateTask applies change to a task and updates the rank of its task set if that depends on the change.
 func (t *transition) updateTask(task job.Task, change func(taskState) taskState) {
 	j, ok := t.s.job(task.Job)
 	if !ok {
@@ -311,9 +311,12 @@
 	if !ok {
 		return
 	}
-	j = j.withTaskSet(i, j.taskSets[i].withTask(task.Index, change(j.taskSets[i].tasks[task.Index])))
-	t.s = t.s.withJob(j)
-	t.s = t.s.withRank(task.Job, i)
+	before := j.taskSets[i]
+	after := before.withTask(task.Index, change(before.tasks[task.Index]))
+	t.s = t.s.withJob(j.withTaskSet(i, after))
+	if (before.waiting > 0) != (after.waiting > 0) || after.waiting > 0 && before.done != after.done {
+		t.s = t.s.withRank(task.Job, i)
+	}
 }
 
 func (t *transition) findTask(task job.Task) (jobState, taskState, bool) {
@@ -347,6 +350,6 @@
 	for _, r := range e.runs {
 		t.requeue(r.task, r.run, "", 0)
 	}
-	e.runs, e.allocated = nil, job.Resources{}
+	e.runs, e.allocated, e.strays = nil, job.Resources{}, 0
 	return e
 }
