Leave time between two scheduling cycles

A cycle now begins 5 ms after the last one at the earliest, and later after one that took long, so that cycles take a fifth of the owner's time at most.

--- a/internal/bench/surge/owner.go
+++ b/internal/bench/surge/owner.go
@@ -39,14 +39,16 @@
 // owner is the owner of a pool, which handles one message after the other.
 type owner struct {
 	*agenda
-	state    schedule.State
-	queue    []queued
-	busy     bool
-	pool     *pool
-	callers  *callers
-	speed    float64
-	handling time.Duration // processor time spent, by the model
-	measured time.Duration // processor time of this machine that the decisions took
+	state     schedule.State
+	queue     []queued
+	busy      bool
+	pool      *pool
+	callers   *callers
+	speed     float64
+	nextCycle time.Duration
+	waking    bool          // wake is due
+	handling  time.Duration // processor time spent, by the model
+	measured  time.Duration // processor time of this machine that the decisions took
 }
 
 // send queues a message.
@@ -55,9 +57,11 @@
 	o.wake()
 }
 
-// wake handles the next messages and a cycle, which takes their processor time. Then the effects are performed.
+// wake handles the next messages and a cycle if one is due, which takes their processor time. Then the effects are
+// performed.
 func (o *owner) wake() {
-	if o.busy || len(o.queue) == 0 {
+	cycleDue := o.now >= o.nextCycle
+	if o.busy || len(o.queue) == 0 && !cycleDue {
 		return
 	}
 	o.busy = true
@@ -75,7 +79,17 @@
 		step(q.message)
 	}
 	o.queue = append([]queued(nil), o.queue[n:]...)
-	step(schedule.RunCycle{Now: o.now})
+	if cycleDue {
+		before := cost
+		step(schedule.RunCycle{Now: o.now})
+		o.nextCycle = schedule.NextCycle(o.now, time.Duration(float64(cost-before)/o.speed))
+	} else if !o.waking {
+		o.waking = true
+		o.after(o.nextCycle-o.now, func() {
+			o.waking = false
+			o.wake()
+		})
+	}
 	cost = time.Duration(float64(cost) / o.speed)
 	o.handling += cost
 	o.after(cost, func() {
--- a/internal/decision/schedule/policy.go
+++ b/internal/decision/schedule/policy.go
@@ -18,6 +18,19 @@
 	Quarantine        time.Duration // time without new tasks for an executor that fails tasks
 }
 
+// Limits of the time between two scheduling cycles, which look at all executors. Without a pause an owner that has caught
+// up runs one after each message, and one that is behind spends most of its time on them.
+const (
+	minCycleInterval = 5 * time.Millisecond
+	maxCycleInterval = 40 * time.Millisecond
+	cycleShare       = 5 // of the owner's time, cycles take at most this part
+)
+
+// NextCycle returns when the next cycle may begin after one that began at a time and took a while.
+func NextCycle(began, took time.Duration) time.Duration {
+	return began + min(max(cycleShare*took, minCycleInterval), maxCycleInterval)
+}
+
 // Fixed limits.
 const (
 	minClockRate             = 0.98                    // an executor's clock may run 2% slow
--- a/internal/link/pool/pool_owner.go
+++ b/internal/link/pool/pool_owner.go
@@ -25,7 +25,7 @@
 // Capacities of a pool owner's rings.
 const (
 	messageCapacity = 4096 // queued requests, reports and results of effects
-	maxBatch        = 64   // maximum number of messages between two scheduling cycles
+	maxBatch        = 64   // maximum number of messages between two looks at the time of the next scheduling cycle
 	lostCapacity    = 4096 // calls whose relay was lost
 	adviceCapacity  = 64   // steps queued for advice
 )
@@ -120,6 +120,10 @@
 	wg.Go(func() { o.adviceLoop(ctx) })
 	o.perform(ctx, o.initialEffects)
 	lastAssignment := clock.SinceBoot()
+	var nextCycle time.Duration
+	cycleTimer := time.NewTimer(0)
+	defer cycleTimer.Stop()
+	cycleWaits := true // for cycleTimer
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -131,6 +135,8 @@
 			for n := 1; n < maxBatch && o.messages.Len() > 0; n++ {
 				o.stepQueued(ctx, <-o.messages.Items())
 			}
+		case <-cycleTimer.C:
+			cycleWaits = false
 		case call := <-o.lostCalls.Items():
 			o.retryLost(ctx, *call)
 		case <-ticker.C:
@@ -142,7 +148,15 @@
 			o.step(ctx, schedule.Tick{Now: now, Unix: time.Now().UnixMilli()})
 		}
 		now := clock.SinceBoot()
+		if wait := nextCycle - now; wait > 0 {
+			if !cycleWaits {
+				cycleWaits = true
+				cycleTimer.Reset(wait)
+			}
+			continue
+		}
 		o.step(ctx, schedule.RunCycle{Now: now})
+		nextCycle = schedule.NextCycle(now, clock.SinceBoot()-now)
 		o.work.report(o.link.log, o, now)
 	}
 }
