Refuse submissions that the owner of a pool can't handle in time

All messages waited in one ring, so that each stage of each accepted job waited behind all new submissions; those that got no answer were sent again.

Submissions now have a ring of their own, whose turn comes when no other message waits. One that would wait for more than 100 ms there is refused at once: 503, with Retry-After 1 if the job can still end in time then, else 2. The owner remembers the refused jobs for some seconds: their objective counts from the first submission, and while jobs are refused that could end in time, those that no longer can don't take their place. A submission whose caller has gone is dropped, since the caller was told that the outcome is unknown; one of a job that the pool knows is always handled.

--- a/internal/bench/surge/callers.go
+++ b/internal/bench/surge/callers.go
@@ -18,7 +18,6 @@
 	taskCPU     = 2200                   // millicores
 	callTimeout = 700 * time.Millisecond // of a receiving daemon's call to the owner
 	retryDelay  = 100 * time.Millisecond // of a caller that has got no answer
-	retryAfter  = port.RetryAfter        // of a caller that was refused
 	patience    = 3 * time.Second        // after which a caller gives up
 )
 
@@ -63,7 +62,7 @@
 	token := c.lastToken
 	c.tokens[token] = s
 	c.after(networkTime, func() {
-		c.owner.send(schedule.Submit{Token: token, Now: c.now, Unix: unixMilli(c.now), Submission: s.Submission, Version: 1})
+		c.owner.request(schedule.Submit{Token: token, Now: c.now, Unix: unixMilli(c.now), Submission: s.Submission, Version: 1})
 	})
 	c.after(callTimeout, func() {
 		if _, ok := c.tokens[token]; ok {
@@ -89,7 +88,7 @@
 	delete(c.tokens, a.Token)
 	if errors.Is(a.Err, port.ErrNotAccepted) {
 		c.refusals++
-		c.retry(s, retryAfter)
+		c.retry(s, port.RetryAfter(a.Err))
 	}
 }
 
--- a/internal/bench/surge/owner.go
+++ b/internal/bench/surge/owner.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"teaselloft/internal/decision/intake"
 	"teaselloft/internal/decision/schedule"
 	"teaselloft/internal/model/port"
 
@@ -18,6 +19,7 @@
 	heartbeatCost = 700 * time.Microsecond // a report
 	commitCost    = 2 * time.Millisecond   // the result of a write
 	cycleCost     = 1 * time.Millisecond
+	refusalCost   = 200 * time.Microsecond // a call that is refused, or that nobody waits for any more
 	startCost     = 500 * time.Microsecond // a start order, with its frame
 	otherCost     = 1 * time.Millisecond
 )
@@ -30,42 +32,60 @@
 	maxBatch     = 64 // messages between two cycles
 )
 
-// queued is a message in the owner's ring.
-type queued struct {
-	message schedule.Message
-	at      time.Duration
-}
-
 // owner is the owner of a pool, which handles one message after the other.
 type owner struct {
 	*agenda
 	state     schedule.State
-	queue     []queued
+	queue     []schedule.Message
+	requests  []schedule.Submit // are handled while no other messages wait
 	busy      bool
 	pool      *pool
 	callers   *callers
 	speed     float64
+	intake    intake.State
 	nextCycle time.Duration
 	waking    bool          // wake is due
+	refused   time.Duration // processor time of refusals since the last batch
 	handling  time.Duration // processor time spent, by the model
 	measured  time.Duration // processor time of this machine that the decisions took
 }
 
 // send queues a message.
 func (o *owner) send(m schedule.Message) {
-	o.queue = append(o.queue, queued{message: m, at: o.now})
+	o.queue = append(o.queue, m)
+	o.wake()
+}
+
+// request queues a call, or refuses it.
+func (o *owner) request(m schedule.Submit) {
+	if slack := o.state.Slack(m.Submission); !o.intake.Accepts(o.now, len(o.requests), m.Submission.ID, slack) {
+		o.refuse(m)
+		return
+	}
+	m.Since = o.intake.Since(m.Submission.ID, m.Now)
+	o.intake = o.intake.WithQueued(o.now, len(o.requests))
+	o.requests = append(o.requests, m)
 	o.wake()
 }
 
+func (o *owner) refuse(m schedule.Submit) {
+	o.intake = o.intake.WithRefusal(o.now, m.Submission.ID, o.state.Slack(m.Submission))
+	o.refused += refusalCost
+	o.after(networkTime, func() {
+		o.callers.answer(schedule.Answer{Token: m.Token, Err: intake.Refusal(o.now, o.intake.Since(m.Submission.ID, o.now), o.state.Slack(m.Submission))})
+	})
+}
+
 // wake handles the next messages and a cycle if one is due, which takes their processor time. Then the effects are
 // performed.
 func (o *owner) wake() {
 	cycleDue := o.now >= o.nextCycle
-	if o.busy || len(o.queue) == 0 && !cycleDue {
+	if o.busy || len(o.queue)+len(o.requests) == 0 && !cycleDue {
 		return
 	}
 	o.busy = true
-	var cost time.Duration
+	cost := o.refused
+	o.refused = 0
 	var effects []schedule.Effect
 	step := func(m schedule.Message) {
 		began := threadTime()
@@ -76,9 +96,19 @@
 	}
 	n := min(maxBatch, len(o.queue))
 	for _, q := range o.queue[:n] {
-		step(q.message)
+		step(q)
+	}
+	o.queue = append([]schedule.Message(nil), o.queue[n:]...)
+	for len(o.requests) > 0 && intake.Expired(o.now, o.requests[0].Now) {
+		o.refuse(o.requests[0])
+		o.requests = o.requests[1:]
+	}
+	taken := intake.Batch(len(o.queue), len(o.requests))
+	for _, q := range o.requests[:taken] {
+		o.intake = o.intake.WithHandled(o.now, q.Now)
+		step(q)
 	}
-	o.queue = append([]queued(nil), o.queue[n:]...)
+	o.requests = append([]schedule.Submit(nil), o.requests[taken:]...)
 	if cycleDue {
 		before := cost
 		step(schedule.RunCycle{Now: o.now})
--- a/internal/bench/surge/surge.go
+++ b/internal/bench/surge/surge.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"teaselloft/internal/core/measure"
+	"teaselloft/internal/decision/intake"
 	"teaselloft/internal/decision/schedule"
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/site"
@@ -47,7 +48,7 @@
 	defer runtime.UnlockOSThread()
 	a := &agenda{now: time.Second}
 	p := newPool(a, l.Executors)
-	o := &owner{agenda: a, pool: p, speed: l.Speed}
+	o := &owner{agenda: a, pool: p, speed: l.Speed, intake: intake.New()}
 	c := &callers{
 		agenda: a, owner: o, random: rand.New(rand.NewPCG(l.Seed, 1)), rate: l.Rate, until: begin + Length,
 		tokens: map[uint64]*submission{}, jobs: map[job.ID]*submission{},
--- a/internal/decision/schedule/message.go
+++ b/internal/decision/schedule/message.go
@@ -35,13 +35,14 @@
 	Executors []string
 }
 
-// Submit submits a job; an Answer follows.
+// Submit submits a job that the pool may know already; an Answer follows.
 type Submit struct {
 	Token      uint64 // repeated in the Answer
 	Now        time.Duration
 	Unix       int64
 	Submission job.Submission
-	Version    int64 // of the configuration by which the caller has chosen the pool
+	Version    int64         // of the configuration by which the caller has chosen the pool
+	Since      time.Duration // when the job was first submitted, if it was refused then; 0 if it wasn't
 }
 
 // Relinquish asks whether the pool has accepted a job whose path a configuration of the given version has moved to another
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -303,6 +303,12 @@
 	return JobStatus{Known: true, State: j.state}
 }
 
+// Knows reports whether the pool has a job with this ID, stored or not.
+func (s State) Knows(id job.ID) bool {
+	_, ok := s.jobs.Get(id)
+	return ok || s.isUnreadable(id)
+}
+
 func (s State) isUnreadable(id job.ID) bool {
 	_, ok := s.unreadable.Get(id)
 	return ok
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -214,7 +214,11 @@
 		t.emit(Answer{Token: m.Token, Err: port.ErrNotAccepted})
 		return
 	}
-	j := t.s.newJob(m.Submission, m.Submission.Digest(), m.Unix, m.Now)
+	since := m.Now
+	if m.Since != 0 {
+		since = m.Since
+	}
+	j := t.s.newJob(m.Submission, m.Submission.Digest(), m.Unix, since)
 	j.submitTokens = []uint64{m.Token}
 	t.s = t.s.withChange(j)
 }
@@ -267,11 +271,22 @@
 	return ok && pool != s.Pool && version < s.config.Version
 }
 
+// Slack returns how long after its submission a job may start and still meet its objective.
+func (s State) Slack(sub job.Submission) time.Duration {
+	return s.objectiveOf(sub) - sub.CriticalPath()
+}
+
+// objectiveOf returns the time within which a job should end.
+func (s State) objectiveOf(sub job.Submission) time.Duration {
+	q := s.queueOf(sub)
+	return q.Target + time.Duration(min(q.Stretch*float64(sub.CriticalPath()), float64(job.MaxDuration)))
+}
+
 // newJob returns the state of a job that has just been submitted.
 func (s State) newJob(sub job.Submission, digest uint64, unix int64, now time.Duration) jobState {
 	q := s.queueOf(sub)
 	j := jobState{sub: sub, queue: q, accepted: unix, digest: digest, criticalPaths: criticalPaths(sub)}
-	j.objective = now + q.Target + time.Duration(min(q.Stretch*float64(sub.CriticalPath()), float64(job.MaxDuration)))
+	j.objective = now + s.objectiveOf(sub)
 	if sub.Repeat == 0 {
 		j = j.withOccurrence(0, now)
 	}
--- a/internal/link/peer/frame.go
+++ b/internal/link/peer/frame.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"teaselloft/internal/model/job"
@@ -50,13 +51,14 @@
 // appended.
 var errorCodes = []error{
 	nil, port.ErrNotOwner, port.ErrNoJob, port.ErrIDConflict, port.ErrNotAccepted, port.ErrUnknownOutcome, port.ErrUnavailable,
+	port.ErrOverloaded,
 }
 
 func errorCode(err error) int {
 	if err == nil {
 		return 0
 	}
-	for i, known := range errorCodes {
+	for i, known := range slices.Backward(errorCodes) { // ErrOverloaded is an ErrNotAccepted, too
 		if known != nil && errors.Is(err, known) {
 			return i
 		}
--- a/internal/link/pool/link.go
+++ b/internal/link/pool/link.go
@@ -67,6 +67,7 @@
 type meters struct {
 	takeover, commit, order, heartbeat, lag metrics.Histogram
 	superseded, refusedOrders               metrics.Counter
+	refused, abandoned                      metrics.Counter // submissions
 	unreadable, rejected                    metrics.Counter
 }
 
@@ -87,6 +88,8 @@
 			superseded:    metrics.GetOrRegisterCounter("pool.superseded", h.Metrics),
 			refusedOrders: metrics.GetOrRegisterCounter("pool.orders.refused", h.Metrics),
 			unreadable:    metrics.GetOrRegisterCounter("pool.unreadable", h.Metrics),
+			refused:       metrics.GetOrRegisterCounter("pool.submissions.refused", h.Metrics),
+			abandoned:     metrics.GetOrRegisterCounter("pool.submissions.abandoned", h.Metrics),
 			rejected:      metrics.GetOrRegisterCounter("pool.rejected", h.Metrics),
 		},
 	}
--- a/internal/link/pool/pool_owner.go
+++ b/internal/link/pool/pool_owner.go
@@ -13,6 +13,7 @@
 	"teaselloft/internal/core/guard"
 	"teaselloft/internal/core/kernel"
 	"teaselloft/internal/core/ring"
+	"teaselloft/internal/decision/intake"
 	"teaselloft/internal/decision/schedule"
 	"teaselloft/internal/model/cluster"
 	"teaselloft/internal/model/job"
@@ -35,6 +36,7 @@
 	ownership
 	link           *link
 	messages       *ring.Ring[queued]
+	submissions    *ring.Ring[schedule.Submit]
 	work           work
 	commits        [schedule.Lanes]*ring.Ring[schedule.Commit]
 	advice         *ring.Ring[schedule.Advise]
@@ -58,6 +60,7 @@
 	lastToken uint64
 	replies   map[uint64]*ring.Ring[schedule.Answer]
 	closed    bool
+	intake    intake.State
 }
 
 // queued is a message and the time at which it was queued.
@@ -78,6 +81,7 @@
 		messages: ring.New[queued]("pool.messages", messageCapacity, ring.Refuse, l.host.Metrics),
 		advice:   ring.New[schedule.Advise]("pool.advice", adviceCapacity, ring.Refuse, l.host.Metrics),
 		writers:  writers, work: newWork(l.host.Metrics),
+		submissions: ring.New[schedule.Submit]("pool.submissions", submissionCapacity, ring.Refuse, l.host.Metrics), intake: intake.New(),
 		lostCalls: ring.New[*port.ExecutorCall]("pool.lost", lostCapacity, ring.Refuse, l.host.Metrics),
 		done:      make(chan struct{}), handed: make(chan struct{}), conns: map[string]*executorConn{}, relays: map[string]*relayConn{}, suspected: map[string]time.Duration{}, replies: map[uint64]*ring.Ring[schedule.Answer]{},
 	}
@@ -135,6 +139,8 @@
 			for n := 1; n < maxBatch && o.messages.Len() > 0; n++ {
 				o.stepQueued(ctx, <-o.messages.Items())
 			}
+		case s := <-o.nextSubmissions():
+			o.handleSubmissions(ctx, s)
 		case <-cycleTimer.C:
 			cycleWaits = false
 		case call := <-o.lostCalls.Items():
@@ -163,10 +169,14 @@
 
 // stepQueued processes a message from the ring.
 func (o *poolOwner) stepQueued(ctx context.Context, m queued) {
-	lag := time.Since(m.at)
+	o.observeLag(time.Since(m.at))
+	o.step(ctx, m.message)
+}
+
+// observeLag records the time for which a message has waited.
+func (o *poolOwner) observeLag(lag time.Duration) {
 	o.link.meters.lag.Update(lag.Milliseconds())
 	o.work.lag = max(o.work.lag, lag)
-	o.step(ctx, m.message)
 }
 
 // step processes a message. A message that makes the decision panic leaves the state as it was and is rejected.
@@ -302,9 +312,16 @@
 	}
 }
 
-// request queues a request and waits for its answer. It returns ErrNotOwner after shutdown, ErrNotAccepted if the queue is
-// full, and ErrUnknownOutcome if ctx ends first.
-func (o *poolOwner) request(ctx context.Context, message func(token uint64) schedule.Message) (schedule.Answer, error) {
+// callOwner queues a call as a message and waits for its answer, as request does.
+func (o *poolOwner) callOwner(ctx context.Context, message func(token uint64) schedule.Message) (schedule.Answer, error) {
+	return o.request(ctx, func(ctx context.Context, token uint64) error {
+		return o.messages.Push(ctx, queued{message: message(token), at: time.Now()})
+	})
+}
+
+// request queues a call with push and waits for its answer. It returns ErrNotOwner after shutdown, ErrNotAccepted if the
+// queue is full, and ErrUnknownOutcome if ctx ends first.
+func (o *poolOwner) request(ctx context.Context, push func(ctx context.Context, token uint64) error) (schedule.Answer, error) {
 	reply := ring.NewReply[schedule.Answer]()
 	o.mutex.Lock()
 	if o.closed {
@@ -315,7 +332,7 @@
 	token := o.lastToken
 	o.replies[token] = reply
 	o.mutex.Unlock()
-	if err := o.messages.Push(ctx, queued{message: message(token), at: time.Now()}); err != nil {
+	if err := push(ctx, token); err != nil {
 		o.dropReply(token)
 		return schedule.Answer{}, port.ErrNotAccepted
 	}
@@ -365,17 +382,9 @@
 	o.release()
 }
 
-// Submit implements port.PoolOwner.
-func (o *poolOwner) Submit(ctx context.Context, s job.Submission, version int64) error {
-	_, err := o.request(ctx, func(token uint64) schedule.Message {
-		return schedule.Submit{Token: token, Now: clock.SinceBoot(), Unix: time.Now().UnixMilli(), Submission: s, Version: version}
-	})
-	return err
-}
-
 // Relinquish implements port.PoolOwner.
 func (o *poolOwner) Relinquish(ctx context.Context, s job.Submission, version int64) error {
-	_, err := o.request(ctx, func(token uint64) schedule.Message {
+	_, err := o.callOwner(ctx, func(token uint64) schedule.Message {
 		return schedule.Relinquish{Token: token, Now: clock.SinceBoot(), Submission: s, Version: version}
 	})
 	switch {
@@ -411,7 +420,7 @@
 
 // Cancel implements port.PoolOwner.
 func (o *poolOwner) Cancel(ctx context.Context, id job.ID) error {
-	_, err := o.request(ctx, func(token uint64) schedule.Message {
+	_, err := o.callOwner(ctx, func(token uint64) schedule.Message {
 		return schedule.Cancel{Token: token, Now: clock.SinceBoot(), ID: id}
 	})
 	if errors.Is(err, port.ErrNoJob) {
@@ -427,7 +436,7 @@
 
 // Vacate implements port.PoolOwner.
 func (o *poolOwner) Vacate(ctx context.Context, executors []string, duration time.Duration) ([]string, error) {
-	a, err := o.request(ctx, func(token uint64) schedule.Message {
+	a, err := o.callOwner(ctx, func(token uint64) schedule.Message {
 		now := clock.SinceBoot()
 		return schedule.Vacate{Token: token, Now: now, Until: now + duration, Executors: executors}
 	})
--- /dev/null
+++ b/internal/link/pool/submission.go
@@ -0,0 +1,98 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"teaselloft/internal/core/clock"
+	"teaselloft/internal/decision/intake"
+	"teaselloft/internal/decision/schedule"
+	"teaselloft/internal/model/job"
+	"teaselloft/internal/model/port"
+)
+
+const submissionCapacity = 1024 // queued submissions; more than an owner handles within intake.MaxLag
+
+// Submit implements port.PoolOwner.
+func (o *poolOwner) Submit(ctx context.Context, s job.Submission, version int64) error {
+	now := clock.SinceBoot()
+	state := o.state.Load()
+	since, err := now, error(nil)
+	if !state.Knows(s.ID) {
+		since, err = o.admit(now, s.ID, state.Slack(s))
+	}
+	if err != nil {
+		return err
+	}
+	_, err = o.request(ctx, func(ctx context.Context, token uint64) error {
+		return o.submissions.Push(ctx, schedule.Submit{Token: token, Now: now, Since: since, Unix: time.Now().UnixMilli(), Submission: s, Version: version})
+	})
+	return err
+}
+
+// admit returns the time at which a job was first submitted, or the error with which it is refused.
+func (o *poolOwner) admit(now time.Duration, id job.ID, slack time.Duration) (since time.Duration, err error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	since = o.intake.Since(id, now)
+	waiting := o.submissions.Len()
+	if !o.intake.Accepts(now, waiting, id, slack) {
+		return since, o.refuse(now, id, slack)
+	}
+	o.intake = o.intake.WithQueued(now, waiting)
+	return since, nil
+}
+
+// refuse records a refusal and returns its error. The caller holds the mutex.
+func (o *poolOwner) refuse(now time.Duration, id job.ID, slack time.Duration) error {
+	o.link.meters.refused.Inc(1)
+	since := o.intake.Since(id, now)
+	o.intake = o.intake.WithRefusal(now, id, slack)
+	return intake.Refusal(now, since, slack)
+}
+
+// nextSubmissions returns the ring of the submissions, or nil while other messages go first.
+func (o *poolOwner) nextSubmissions() <-chan schedule.Submit {
+	if o.messages.Len() == 0 {
+		return o.submissions.Items()
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.intake.Overdue(clock.SinceBoot(), o.submissions.Len()) {
+		return o.submissions.Items() // to refuse it
+	}
+	return nil
+}
+
+// handleSubmissions processes a submission and some of those that wait behind it.
+func (o *poolOwner) handleSubmissions(ctx context.Context, m schedule.Submit) {
+	o.handleSubmission(ctx, m)
+	for n := 1; n < intake.Batch(o.messages.Len(), o.submissions.Len()); n++ {
+		o.handleSubmission(ctx, <-o.submissions.Items())
+	}
+}
+
+// handleSubmission processes a submission, unless its caller no longer waits, or it has waited too long and the pool
+// doesn't know the job.
+func (o *poolOwner) handleSubmission(ctx context.Context, m schedule.Submit) {
+	now, state := clock.SinceBoot(), o.state.Load()
+	o.mutex.Lock()
+	_, waits := o.replies[m.Token]
+	o.intake = o.intake.WithHandled(now, m.Now)
+	var err error
+	if waits && intake.Expired(now, m.Now) && !state.Knows(m.Submission.ID) {
+		err = o.refuse(now, m.Submission.ID, state.Slack(m.Submission))
+	}
+	o.mutex.Unlock()
+	o.observeLag(now - m.Now)
+	switch {
+	case !waits:
+		o.link.meters.abandoned.Inc(1)
+	case err != nil:
+		o.answer(schedule.Answer{Token: m.Token, Err: err})
+	default:
+		o.step(ctx, m)
+	}
+}
+
+var _ port.PoolOwner = (*poolOwner)(nil)
--- a/internal/model/port/jobservice.go
+++ b/internal/model/port/jobservice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"teaselloft/internal/model/job"
@@ -20,8 +21,23 @@
 	ErrUnavailable    = errors.New("state of the job cannot be read now")
 )
 
-// RetryAfter is the delay that a refused caller is told to wait before it retries.
-const RetryAfter = time.Second
+// ErrOverloaded is an ErrNotAccepted of a pool with more jobs than its owner can start. The job can no longer end in time
+// after the shortest delay that a caller can be told.
+var ErrOverloaded = fmt.Errorf("%w: its pool has more jobs than it can start", ErrNotAccepted)
+
+// Delays that refused callers are told to wait before they retry.
+const (
+	MinRetryAfter      = time.Second // the shortest one that the header can hold
+	overloadRetryAfter = 2 * time.Second
+)
+
+// RetryAfter returns the delay that a caller is told who is refused with an error.
+func RetryAfter(err error) time.Duration {
+	if errors.Is(err, ErrOverloaded) {
+		return overloadRetryAfter
+	}
+	return MinRetryAfter
+}
 
 // JobService serves the callers' requests about jobs, independently of their protocol.
 type JobService interface {
