Ask silent executors without runs once a second

An executor without runs loses nothing while it is silent, so that once a second is enough; one with runs, or one that a new owner waits for, is asked as often as before.

--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -170,7 +170,11 @@
 		t.sendHeartbeat(e, 0, 0, true) // retries at once on a new connection, since the open one may be dead
 		return
 	}
-	t.sendHeartbeat(e, 0, t.s.policy.HeartbeatBackoff, true)
+	delay := t.s.policy.HeartbeatBackoff
+	if len(e.runs) == 0 && !t.s.isUnsettled(e.info.ID) {
+		delay = t.s.policy.IdleBackoff
+	}
+	t.sendHeartbeat(e, 0, delay, true)
 }
 
 func (t *transition) handleReport(e executorState, m HeartbeatResult) {
--- a/internal/decision/schedule/policy.go
+++ b/internal/decision/schedule/policy.go
@@ -13,6 +13,7 @@
 	HeartbeatWait     time.Duration // minimum of heartbeatWait; bounds how soon a silent executor is detected
 	HeartbeatInterval time.Duration // delay of the next heartbeat while reported ended runs are not stored yet
 	HeartbeatBackoff  time.Duration // delay between heartbeats that fail
+	IdleBackoff       time.Duration // the same for an executor without runs, which mostly has moved to another pool
 	CommitInterval    time.Duration // minimum time between two commits, which keeps several owners within the store's rate limit
 	Retention         time.Duration // how long the outcome of a job is kept
 	Quarantine        time.Duration // time without new tasks for an executor that fails tasks
@@ -49,6 +50,7 @@
 		HeartbeatWait:     700 * time.Millisecond,
 		HeartbeatInterval: 150 * time.Millisecond,
 		HeartbeatBackoff:  200 * time.Millisecond,
+		IdleBackoff:       time.Second,
 		CommitInterval:    20 * time.Millisecond,
 		Retention:         200 * time.Second, // above the 120 s for which callers may query an outcome
 		Quarantine:        3 * time.Second,
