--- a/internal/decision/schedule/job.go
+++ b/internal/decision/schedule/job.go
@@ -13,7 +13,7 @@
 
 const (
 	waiting  phase = iota // no run
-	starting              // start ordered, not confirmed
+	starting              // start ordered, not confirmed; a task that isn't long-running stays so until its run ends
 	running
 	stopping
 	done
--- a/internal/decision/schedule/order.go
+++ b/internal/decision/schedule/order.go
@@ -84,12 +84,7 @@
 	case m.Err == nil:
 		if r.phase == starting {
 			r.phase, r.since = running, t.s.now
-			t.updateTask(r.task, func(x taskState) taskState {
-				if x.run == r.run && x.phase == starting {
-					x.phase, x.since = running, t.s.now
-				}
-				return x
-			})
+			t.confirmStart(r)
 		}
 		r.lastOrderAt = t.s.now
 		t.s = t.s.withExecutor(e.withRun(r))
@@ -110,6 +105,19 @@
 	}
 }
 
+// confirmStart records that a run of a long-running task has started. Whether another task may be evicted depends on it.
+func (t *transition) confirmStart(r runState) {
+	if !r.longRunning {
+		return
+	}
+	t.updateTask(r.task, func(x taskState) taskState {
+		if x.run == r.run && x.phase == starting {
+			x.phase, x.since = running, t.s.now
+		}
+		return x
+	})
+}
+
 // definitelyRefused reports whether an order that failed with err had no effect and never will have one.
 func definitelyRefused(err error) bool {
 	for _, definite := range []error{
--- a/internal/decision/schedule/reconcile.go
+++ b/internal/decision/schedule/reconcile.go
@@ -63,12 +63,7 @@
 	r = r.withProgress(a, t.s.now)
 	if r.phase == starting {
 		r.phase, r.since, r.lastOrderAt = running, t.s.now, t.s.now
-		t.updateTask(r.task, func(x taskState) taskState {
-			if x.run == r.run && x.phase == starting {
-				x.phase, x.since = running, t.s.now
-			}
-			return x
-		})
+		t.confirmStart(r)
 	}
 	if a.Checkpoint != "" {
 		if _, x, ok := t.findTask(r.task); ok && x.run == r.run && x.checkpoint != a.Checkpoint {
