Don't run an exhausted task again after a refused cancellation

While a cancellation was on its way to the store, the end of a task's last allowed run was counted but had no consequence, because the job was about to end. If the store then refused the write, the job went on and the task ran again: more runs than its queue allows.

--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -256,8 +256,11 @@
 		if j.outcome == job.Cancelled && len(j.cancelTokens) == 0 {
 			j.outcome = job.Queued
 		}
-		if j.complete() {
+		switch { // the runs that have ended meanwhile were not acted on
+		case j.complete():
 			j.outcome = job.Completed
+		case j.outcome == job.Queued && j.exhausted():
+			j.outcome = job.Failed
 		}
 	default:
 		j.cancelTokens = slices.Concat(x.cancelTokens, j.cancelTokens)
--- a/internal/decision/schedule/commit_test.go
+++ b/internal/decision/schedule/commit_test.go
@@ -125,3 +125,23 @@
 		}
 	}
 }
+
+// Guards against a task that runs more often than its queue allows: its last allowed run fails while the store has yet to
+// refuse a cancellation of the job.
+func TestRunFailsDuringRefusedCancellation(t *testing.T) {
+	c := qt.New(t)
+	config := &site.Config{Version: 1, Queues: []site.Queue{{Name: "q", Pool: pool, Attempts: 1}}}
+	sub := waitingJobs(1, "aaaaaaaa", job.Resources{CPU: 100}, time.Second)[0]
+	p := newSingleExecutor(config, sub)
+	p.heartbeat()
+	starts := p.startsWithin(time.Second, nil)
+	c.Assert(starts, qt.HasLen, 1)
+	p.step(schedule.Cancel{Token: 2, Now: p.now, ID: sub.ID})
+	inFlight := commits(p.step(schedule.RunCycle{Now: p.now}))
+	c.Assert(inFlight, qt.HasLen, 1)
+	p.ended(1, job.OutcomeFailed, starts...)
+	p.step(schedule.CommitResult{Now: p.now, Number: inFlight[0].Number, Err: port.ErrRefused})
+	p.now += time.Second
+	c.Assert(p.startsWithin(3*time.Second, nil), qt.HasLen, 0)
+	c.Assert(p.state.Status(sub.ID).State, qt.Equals, job.Failed)
+}
--- a/internal/decision/schedule/job.go
+++ b/internal/decision/schedule/job.go
@@ -123,6 +123,18 @@
 	return true
 }
 
+// exhausted reports whether a task has failed as often as the queue allows.
+func (j jobState) exhausted() bool {
+	for _, ts := range j.taskSets {
+		for _, x := range ts.tasks {
+			if len(x.failedRuns) >= max(1, j.queue.Attempts) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // dependenciesDone reports whether all steps that a task set depends on are done.
 func (j jobState) dependenciesDone(index int) bool {
 	ts := j.taskSets[index]
