--- a/internal/decision/schedule/ended.go
+++ b/internal/decision/schedule/ended.go
@@ -18,7 +18,7 @@
 	e.lastEnd = end.Number
 	var r runState
 	if i := e.findRun(end.Task, end.Run); i >= 0 {
-		r = e.runs[i]
+		r = *e.runs[i]
 		e = e.withoutRun(i)
 	}
 	j, x, ok := t.findTask(end.Task)
--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -48,7 +48,7 @@
 	pendingAcks       []pendingAck
 	heartbeatInFlight bool
 	nextHeartbeatAt   time.Duration // when a heartbeat that waits for a write is sent at the latest; 0 if none waits
-	runs              []runState
+	runs              []*runState   // a changed run is a copy
 	allocated         job.Resources // resources of all runs, stopping ones included
 	strays            int           // number of runs of unknown jobs
 	faults            float64       // failed runs minus successful runs, at least 0
@@ -67,7 +67,7 @@
 
 func (e executorState) findRun(t job.Task, run uint64) int {
 	for i := range e.runs {
-		if r := &e.runs[i]; r.run == run && sameTask(r.task, t) {
+		if r := e.runs[i]; r.run == run && sameTask(r.task, t) {
 			return i
 		}
 	}
@@ -79,12 +79,12 @@
 		e.allocated = e.allocated.Minus(e.runs[i].need).Plus(r.need)
 		e.strays += boolToInt(r.stray) - boolToInt(e.runs[i].stray)
 		e.runs = slices.Clone(e.runs)
-		e.runs[i] = r
+		e.runs[i] = &r
 		return e
 	}
 	e.allocated = e.allocated.Plus(r.need)
 	e.strays += boolToInt(r.stray)
-	e.runs = append(slices.Clip(e.runs), r)
+	e.runs = append(slices.Clip(e.runs), &r)
 	return e
 }
 
--- a/internal/decision/schedule/order.go
+++ b/internal/decision/schedule/order.go
@@ -11,7 +11,7 @@
 
 // stopRun orders the executor to stop a run.
 func (t *transition) stopRun(e executorState, i int) executorState {
-	r := e.runs[i]
+	r := *e.runs[i]
 	if r.phase != stopping {
 		r.phase, r.since = stopping, t.s.now
 	}
@@ -67,7 +67,7 @@
 }
 
 func (t *transition) handleStopResult(e executorState, i int, m OrderResult) {
-	r := e.runs[i]
+	r := *e.runs[i]
 	confirmed := m.Err == nil || errors.Is(m.Err, port.ErrStaleRun) || errors.Is(m.Err, port.ErrExpired) || errors.Is(m.Err, port.ErrRejected)
 	if confirmed {
 		r.stopConfirmed, r.lastOrderAt = true, t.s.now
@@ -79,7 +79,7 @@
 const startRetryDelay = 100 * time.Millisecond
 
 func (t *transition) handleStartResult(e executorState, i int, m OrderResult) {
-	r := e.runs[i]
+	r := *e.runs[i]
 	switch {
 	case m.Err == nil:
 		if r.phase == starting {
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -24,11 +24,11 @@
 func (c *candidate) addRun(r runState, leaseExpires int64) {
 	if !c.changed {
 		e := *c.executor
-		e.runs = append(make([]runState, 0, len(e.runs)+4), e.runs...)
+		e.runs = append(make([]*runState, 0, len(e.runs)+4), e.runs...)
 		c.executor, c.changed = &e, true
 	}
 	e := c.executor
-	e.runs = append(e.runs, r)
+	e.runs = append(e.runs, &r)
 	e.allocated = e.allocated.Plus(r.need)
 	e.leaseExpires = max(e.leaseExpires, leaseExpires)
 	c.free = c.free.Minus(r.need)
@@ -277,7 +277,7 @@
 		p.rack = c.executor.info.Rack()
 		c.free = c.free.Minus(p.need)
 		reserved := *c.executor
-		reserved.runs = append(slices.Clip(reserved.runs), runState{task: job.Task{Job: p.job.sub.ID, Occurrence: p.taskSet.occurrence, Step: p.taskSet.step}})
+		reserved.runs = append(slices.Clip(reserved.runs), &runState{task: job.Task{Job: p.job.sub.ID, Occurrence: p.taskSet.occurrence, Step: p.taskSet.step}})
 		c.executor = &reserved
 		chosen = append(chosen, c)
 	}
--- a/internal/decision/schedule/reconcile.go
+++ b/internal/decision/schedule/reconcile.go
@@ -14,13 +14,15 @@
 	e, _ := t.s.executor(id)
 	runs := slices.Clone(e.runs) // changed in place, because a report concerns all of them
 	var missing, unstopped []runState
-	for i, r := range runs {
+	for i, x := range runs {
+		r := *x
 		a := findActive(m.Report.Runs, r.task, r.run)
 		if a == nil {
 			missing = append(missing, r)
 			continue
 		}
-		runs[i] = t.withReported(r, *a)
+		reported := t.withReported(r, *a)
+		runs[i] = &reported
 		if r.phase == stopping && !r.stopConfirmed && m.Sent-r.lastOrderAt > stopRetryInterval {
 			unstopped = append(unstopped, r)
 		}
--- a/internal/decision/schedule/throttle.go
+++ b/internal/decision/schedule/throttle.go
@@ -50,7 +50,8 @@
 	if want < minSpeed {
 		want = 0
 	}
-	for _, r := range e.runs {
+	for _, x := range e.runs {
+		r := *x
 		if r.bestEffort && r.phase == running && r.speed != want && (want < r.speed || t.s.now-r.speedSentAt > throttleResendInterval) {
 			r.speed, r.speedSentAt = want, t.s.now
 			e = e.withRun(r)
@@ -67,7 +68,7 @@
 		return
 	}
 	const unknownSpeed = 101 // differs from every valid speed
-	r := e.runs[i]
+	r := *e.runs[i]
 	r.speed = unknownSpeed
 	t.s = t.s.withExecutor(e.withRun(r))
 }
--- a/internal/decision/schedule/vacate.go
+++ b/internal/decision/schedule/vacate.go
@@ -50,7 +50,7 @@
 func (t *transition) evictRuns(id string) {
 	e, _ := t.s.executor(id)
 	for i := 0; i < len(e.runs); i++ {
-		r := e.runs[i]
+		r := *e.runs[i]
 		if r.phase != running {
 			continue
 		}
