--- /dev/null
+++ b/internal/link/peer/peer_test.go
@@ -0,0 +1,89 @@
+package peer_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"teaselloft/internal/core/kernel"
+	_ "teaselloft/internal/link/peer"
+	"teaselloft/internal/model/cluster"
+	"teaselloft/internal/model/job"
+	"teaselloft/internal/model/port"
+	"teaselloft/internal/proof/process"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// fakeOwner owns every pool and answers each submission with err.
+type fakeOwner struct {
+	port.PoolOwner
+	err error
+}
+
+func (f *fakeOwner) Local(string) (port.PoolOwner, bool) { return f, true }
+
+func (f *fakeOwner) Submit(context.Context, job.Submission, int64) error { return f.err }
+
+var owner = &fakeOwner{}
+
+func init() {
+	kernel.Register("fakes", struct{}{}, func(h *kernel.Host, _ struct{}) ([]kernel.Duty, error) {
+		kernel.Provide[port.Owners](h, owner)
+		return nil, nil
+	})
+}
+
+// start runs a daemon's listener for peers and returns its address and its client.
+func start(c *qt.C) (string, port.Peers) {
+	free, err := process.FreeBlock(1)
+	c.Assert(err, qt.IsNil)
+	address := fmt.Sprintf("127.0.0.1:%d", free)
+	section := json.RawMessage(fmt.Sprintf(`{"listen":{"address":%q}}`, address))
+	k, err := kernel.New(kernel.Settings{Name: "a", Plugins: map[string]json.RawMessage{"fakes": nil, "peer": section}}, slog.New(slog.DiscardHandler))
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = k.Run(ctx)
+	}()
+	c.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	peers, ok := kernel.Use[port.Peers](k.Host())
+	c.Assert(ok, qt.IsTrue)
+	return address, peers
+}
+
+// Guards against an answer of the owner that means something else at the daemon that asked, such as a refusal whose delay
+// is lost.
+func TestErrorsReachOtherDaemon(t *testing.T) {
+	c := qt.New(t)
+	address, peers := start(c)
+	remote := peers.Remote(cluster.Owner{Duty: "p", Address: address})
+	sub := job.Submission{ID: "0000000000000001", Spec: "s", Steps: []job.Step{{Count: 1}}}
+	submit := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		err := remote.Submit(ctx, sub, 1)
+		for ctx.Err() == nil && errors.Is(err, port.ErrNotConnected) { // the listener has yet to start
+			time.Sleep(10 * time.Millisecond)
+			err = remote.Submit(ctx, sub, 1)
+		}
+		return err
+	}
+	for _, err := range []error{
+		nil, port.ErrNotOwner, port.ErrNoJob, port.ErrIDConflict, port.ErrNotAccepted, port.ErrOverloaded, port.ErrUnknownOutcome, port.ErrUnavailable,
+	} {
+		owner.err = err
+		got := submit()
+		c.Check(got, qt.Equals, err)
+		c.Check(port.RetryAfter(got), qt.Equals, port.RetryAfter(err))
+	}
+}
