--- a/internal/bench/surge/surge.go
+++ b/internal/bench/surge/surge.go
@@ -44,8 +44,8 @@
 
 // Run plays a surge.
 func Run(l Load) Result {
-	runtime.LockOSThread() // whose processor time is measured
-	defer runtime.UnlockOSThread()
+	unlock := lockThread()
+	defer unlock()
 	a := &agenda{now: time.Second}
 	p := newPool(a, l.Executors)
 	o := &owner{agenda: a, pool: p, speed: l.Speed, intake: intake.New()}
@@ -54,12 +54,8 @@
 		tokens: map[uint64]*submission{}, jobs: map[job.ID]*submission{},
 	}
 	p.owner, o.callers = o, c
-	config := &site.Config{
-		Version: 1, Pools: []site.Pool{{Name: poolName}},
-		Queues: []site.Queue{{Name: "q", Pool: poolName, Attempts: 3, Stretch: 1.6, Target: 600 * time.Millisecond}},
-	}
 	s := schedule.New(poolName, 1, schedule.DefaultPolicy(6*time.Second), a.now, unixMilli(a.now)).WithConfirmation(a.now)
-	s, effects := schedule.Recover(s, config, schedule.Stored{Listed: p.listed})
+	s, effects := schedule.Recover(s, config(), schedule.Stored{Listed: p.listed})
 	o.state = s
 	for _, e := range effects {
 		o.perform(e)
@@ -78,6 +74,19 @@
 	}
 }
 
+// lockThread keeps the caller on its thread, whose processor time is measured, until the returned function is called.
+func lockThread() func() {
+	runtime.LockOSThread()
+	return runtime.UnlockOSThread
+}
+
+func config() *site.Config {
+	return &site.Config{
+		Version: 1, Pools: []site.Pool{{Name: poolName}},
+		Queues: []site.Queue{{Name: "q", Pool: poolName, Attempts: 3, Stretch: 1.6, Target: 600 * time.Millisecond}},
+	}
+}
+
 // Saturating returns the load of a small pool with an owner that is saturated by 120 jobs a second.
 func Saturating(rate float64) Load { return Load{Rate: rate, Executors: 60, Speed: 1, Seed: Seed} }
 
