--- a/internal/decision/schedule/message.go
+++ b/internal/decision/schedule/message.go
@@ -42,7 +42,7 @@
 	Unix       int64
 	Submission job.Submission
 	Version    int64         // of the configuration by which the caller has chosen the pool
-	Since      time.Duration // when the job was first submitted, if it was refused then; 0 if it wasn't
+	Since      time.Duration // when the job was first submitted, which is earlier if it was refused then; 0 means Now
 }
 
 // Relinquish asks whether the pool has accepted a job whose path a configuration of the given version has moved to another
--- a/internal/decision/schedule/policy.go
+++ b/internal/decision/schedule/policy.go
@@ -24,7 +24,7 @@
 const (
 	minCycleInterval = 5 * time.Millisecond
 	maxCycleInterval = 40 * time.Millisecond
-	cycleShare       = 5 // of the owner's time, cycles take at most this part
+	cycleShare       = 5 // cycles take at most a fifth of the owner's time, unless one takes longer than 8 ms
 )
 
 // NextCycle returns when the next cycle may begin after one that began at a time and took a while.
--- a/internal/link/pool/submission.go
+++ b/internal/link/pool/submission.go
@@ -17,14 +17,14 @@
 func (o *poolOwner) Submit(ctx context.Context, s job.Submission, version int64) error {
 	now := clock.SinceBoot()
 	state := o.state.Load()
-	since, err := now, error(nil)
+	since := now
 	if !state.Knows(s.ID) {
-		since, err = o.admit(now, s.ID, state.Slack(s))
+		var err error
+		if since, err = o.admit(now, s.ID, state.Slack(s)); err != nil {
+			return err
+		}
 	}
-	if err != nil {
-		return err
-	}
-	_, err = o.request(ctx, func(ctx context.Context, token uint64) error {
+	_, err := o.request(ctx, func(ctx context.Context, token uint64) error {
 		return o.submissions.Push(ctx, schedule.Submit{Token: token, Now: now, Since: since, Unix: time.Now().UnixMilli(), Submission: s, Version: version})
 	})
 	return err
