Don't refuse a repeated submission while the first one waits

A refusal (503) says that the job never runs. A second submission of a job could be refused while the first one was in the owner's ring, or just being handled, and was then accepted. The record of the intake now has the jobs of queued submissions; another one of these is taken and waits behind the first. TestRepeatedSubmissionIsNotRefusedWhileFirstWaits fails without that. Found by reading the change once more.

--- a/internal/bench/surge/owner.go
+++ b/internal/bench/surge/owner.go
@@ -63,7 +63,7 @@
 		return
 	}
 	m.Since = o.intake.Since(m.Submission.ID, m.Now)
-	o.intake = o.intake.WithQueued(o.now, len(o.requests))
+	o.intake = o.intake.WithQueued(o.now, len(o.requests), m.Submission.ID)
 	o.requests = append(o.requests, m)
 	o.wake()
 }
@@ -100,12 +100,13 @@
 	}
 	o.queue = append([]schedule.Message(nil), o.queue[n:]...)
 	for len(o.requests) > 0 && intake.Expired(o.now, o.requests[0].Now) {
+		o.intake = o.intake.WithSettled(o.requests[0].Submission.ID)
 		o.refuse(o.requests[0])
 		o.requests = o.requests[1:]
 	}
 	taken := intake.Batch(len(o.queue), len(o.requests))
 	for _, q := range o.requests[:taken] {
-		o.intake = o.intake.WithHandled(o.now, q.Now)
+		o.intake = o.intake.WithHandled(o.now, q.Now).WithSettled(q.Submission.ID)
 		step(q)
 	}
 	o.requests = append([]schedule.Submit(nil), o.requests[taken:]...)
--- a/internal/decision/intake/intake.go
+++ b/internal/decision/intake/intake.go
@@ -33,10 +33,13 @@
 	recent    refusals
 	older     refusals // those before rotatedAt
 	rotatedAt time.Duration
+	queued    *immutable.Map[job.ID, int] // submissions of each job that are not handled yet
 }
 
 // New returns the state of an owner that is not behind.
-func New() State { return State{recent: none(), older: none(), refusedAt: -quietTime} }
+func New() State {
+	return State{recent: none(), older: none(), refusedAt: -quietTime, queued: immutable.NewMap[job.ID, int](hasher{})}
+}
 
 func none() refusals { return immutable.NewMap[job.ID, time.Duration](hasher{}) }
 
@@ -55,11 +58,23 @@
 	return s
 }
 
-// WithQueued returns a copy after a submission was queued behind others.
-func (s State) WithQueued(now time.Duration, waiting int) State {
+// WithQueued returns a copy after a submission of a job was queued behind others.
+func (s State) WithQueued(now time.Duration, waiting int, id job.ID) State {
 	if waiting == 0 {
 		s.lag, s.handledAt = 0, now
 	}
+	n, _ := s.queued.Get(id)
+	s.queued = s.queued.Set(id, n+1)
+	return s
+}
+
+// WithSettled returns a copy after a queued submission of a job was accepted, refused or dropped.
+func (s State) WithSettled(id job.ID) State {
+	if n, _ := s.queued.Get(id); n > 1 {
+		s.queued = s.queued.Set(id, n-1)
+	} else {
+		s.queued = s.queued.Delete(id)
+	}
 	return s
 }
 
@@ -90,8 +105,12 @@
 //
 // A submission that the owner would not answer in time is refused at once, because it would only delay the others, and its
 // caller would repeat it. While that happens, a job that was refused before and can no longer end in time doesn't take the
-// place of one that can.
+// place of one that can. Another submission of a queued job is taken in any case: a refusal says that the job never runs,
+// and the first one may be accepted.
 func (s State) Accepts(now time.Duration, waiting int, id job.ID, slack time.Duration) bool {
+	if _, ok := s.queued.Get(id); ok {
+		return true
+	}
 	if s.lagOf(now, waiting) > MaxLag {
 		return false
 	}
--- a/internal/decision/intake/intake_test.go
+++ b/internal/decision/intake/intake_test.go
@@ -33,7 +33,7 @@
 	c.Assert(late.Accepts(now, 0, id, slack), qt.IsTrue, qt.Commentf("nothing waits any more"))
 	c.Assert(behind(now, 0).Accepts(now+2*intake.MaxLag, 1, id, slack), qt.IsFalse, qt.Commentf("the owner handles none"))
 
-	idle := behind(now-time.Minute, 0).WithQueued(now, 0)
+	idle := behind(now-time.Minute, 0).WithQueued(now, 0, "0000000000000009")
 	c.Assert(idle.Accepts(now, 1, id, slack), qt.IsTrue)
 	c.Assert(intake.Expired(now+intake.MaxLag+ms, now), qt.IsTrue)
 	c.Assert(intake.Expired(now+intake.MaxLag, now), qt.IsFalse)
@@ -75,3 +75,16 @@
 	c.Assert(port.RetryAfter(intake.Refusal(now, now-time.Second, 1500*ms)), qt.Equals, 2*time.Second)
 	c.Assert(intake.Refusal(now, now, slack), qt.ErrorIs, port.ErrNotAccepted)
 }
+
+// Guards against a job that runs although its caller was told that it never will: its first submission still waits when a
+// later one is refused.
+func TestRepeatedSubmissionIsNotRefusedWhileFirstWaits(t *testing.T) {
+	c := qt.New(t)
+	now := 10 * time.Second
+	s := behind(now, 2*intake.MaxLag).WithQueued(now, 3, id).WithQueued(now, 4, id)
+	c.Assert(s.Accepts(now, 5, "0000000000000002", slack), qt.IsFalse)
+	c.Assert(s.Accepts(now, 5, id, slack), qt.IsTrue)
+	s = s.WithSettled(id)
+	c.Assert(s.Accepts(now, 4, id, slack), qt.IsTrue, qt.Commentf("the second one still waits"))
+	c.Assert(s.WithSettled(id).Accepts(now, 3, id, slack), qt.IsFalse)
+}
--- a/internal/link/pool/submission.go
+++ b/internal/link/pool/submission.go
@@ -16,30 +16,42 @@
 // Submit implements port.PoolOwner.
 func (o *poolOwner) Submit(ctx context.Context, s job.Submission, version int64) error {
 	now := clock.SinceBoot()
-	state := o.state.Load()
-	since := now
-	if !state.Knows(s.ID) {
-		var err error
-		if since, err = o.admit(now, s.ID, state.Slack(s)); err != nil {
-			return err
-		}
+	since, err := o.admit(now, s)
+	if err != nil {
+		return err
 	}
-	_, err := o.request(ctx, func(ctx context.Context, token uint64) error {
-		return o.submissions.Push(ctx, schedule.Submit{Token: token, Now: now, Since: since, Unix: time.Now().UnixMilli(), Submission: s, Version: version})
+	_, err = o.request(ctx, func(ctx context.Context, token uint64) error {
+		m := schedule.Submit{Token: token, Now: now, Since: since, Unix: time.Now().UnixMilli(), Submission: s, Version: version}
+		err := o.submissions.Push(ctx, m)
+		if err != nil {
+			o.settle(s.ID)
+		}
+		return err
 	})
 	return err
 }
 
+// settle records that a queued submission of a job was accepted, refused or dropped.
+func (o *poolOwner) settle(id job.ID) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.intake = o.intake.WithSettled(id)
+}
+
 // admit returns the time at which a job was first submitted, or the error with which it is refused.
-func (o *poolOwner) admit(now time.Duration, id job.ID, slack time.Duration) (since time.Duration, err error) {
+func (o *poolOwner) admit(now time.Duration, s job.Submission) (since time.Duration, err error) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	since = o.intake.Since(id, now)
-	waiting := o.submissions.Len()
-	if !o.intake.Accepts(now, waiting, id, slack) {
-		return since, o.refuse(now, id, slack)
+	state := o.state.Load() // read under the mutex: it has the jobs whose submissions are no longer queued
+	if state.Knows(s.ID) {
+		return now, nil
+	}
+	since = o.intake.Since(s.ID, now)
+	waiting, slack := o.submissions.Len(), state.Slack(s)
+	if !o.intake.Accepts(now, waiting, s.ID, slack) {
+		return since, o.refuse(now, s.ID, slack)
 	}
-	o.intake = o.intake.WithQueued(now, waiting)
+	o.intake = o.intake.WithQueued(now, waiting, s.ID)
 	return since, nil
 }
 
@@ -85,6 +97,7 @@
 	}
 	o.mutex.Unlock()
 	o.observeLag(now - m.Now)
+	defer o.settle(m.Submission.ID) // the published state shows by then whether the job is known
 	switch {
 	case !waits:
 		o.link.meters.abandoned.Inc(1)
