--- a/review/driver-2/executor.go
+++ b/review/driver-2/executor.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -27,14 +26,15 @@
 	listener net.Listener
 	address  string
 
-	mutex    sync.Mutex
-	kind     string
-	life     *life
-	dark     bool
-	unwell   bool // answers starts with 503 and runs none of them
-	wake     chan struct{}
-	conns    map[net.Conn]bool
-	sequence int
+	mutex      sync.Mutex
+	kind       string
+	life       *life
+	dark       bool
+	unwell     bool // answers starts with 503 and runs none of them
+	wake       chan struct{}
+	conns      map[net.Conn]bool
+	sequence   int
+	generation int // of ids
 }
 
 // life is one incarnation.
@@ -344,14 +344,7 @@
 		e.h.event(event{Kind: "refuse", Executor: e.id, Life: l.number, Task: b.Task, Run: b.Run, How: "ticket"})
 		return "ticket"
 	}
-	length, how := 200*time.Millisecond, "done"
-	spec := b.Spec
-	if s, ok := strings.CutPrefix(spec, "fail "); ok {
-		spec, how = s, "failed"
-	}
-	if d, err := time.ParseDuration(spec); err == nil {
-		length = d
-	}
+	length, how := lengthOf(b.Spec, b.Task, b.Run)
 	r := &run{number: b.Run}
 	r.timer = time.AfterFunc(length, func() {
 		e.mutex.Lock()
--- a/review/driver-2/harness.go
+++ b/review/driver-2/harness.go
@@ -16,6 +16,7 @@
 	"os/signal"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,6 +33,7 @@
 	cancelBound = 3 * time.Second // cancel_ms
 	visible     = 3 * time.Second // visible_ms
 	stopTimeout = 200 * time.Millisecond
+	upkeepTime  = 2 * time.Second  // maintenance-s
 	finish      = 14 * time.Second // finish_s
 	hostName    = "flags.example"
 	caseLimit   = 110 * time.Second
@@ -499,9 +501,13 @@
 
 // cloud stands in for the instance list and the orders to instances.
 type cloud struct {
-	h     *harness
-	mutex sync.Mutex
-	down  map[string]bool
+	h      *harness
+	mutex  sync.Mutex
+	down   map[string]bool
+	done   map[string]int64  // last wave by machine
+	fences map[string]uint64 // by machine
+	late   time.Duration     // by which the next order is held
+	held   func()            // called when it is
 }
 
 func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -528,8 +534,102 @@
 		_ = json.NewEncoder(w).Encode(map[string]any{"machines": rows, "next-token": nil})
 		return
 	}
-	w.WriteHeader(http.StatusConflict)
-	_, _ = io.WriteString(w, `{"reason":"busy"}`)
+	c.handleOrder(w, r)
+}
+
+// handleOrder carries an order out, or leaves it unanswered and carries it out late if it is the one to be held.
+func (c *cloud) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var b struct {
+		Machine string `json:"machine"`
+		Pool    string `json:"pool"`
+		Wave    int64  `json:"wave"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	fence, _ := strconv.ParseUint(r.Header.Get("X-Teaselloft-Fencing-Token"), 10, 64)
+	holder := r.Header.Get("X-Teaselloft-Lease-Holder")
+	c.h.note("cloud: order for %s, wave %d, by %s under %d", b.Machine, b.Wave, holder, fence)
+	c.mutex.Lock()
+	late, held := c.late, c.held
+	c.late, c.held = 0, nil
+	c.mutex.Unlock()
+	if late > 0 {
+		c.h.note("cloud: the order gets no answer and is carried out %v later", late)
+		time.AfterFunc(late, func() { c.h.note("cloud: late order for %s: %s", b.Machine, c.maintain(b.Machine, b.Wave, fence)) })
+		held()
+		<-r.Context().Done()
+		return
+	}
+	if reason := c.maintain(b.Machine, b.Wave, fence); reason != "" {
+		w.WriteHeader(http.StatusConflict)
+		_, _ = fmt.Fprintf(w, `{"reason":%q}`, reason)
+		return
+	}
+	_, _ = io.WriteString(w, "{}")
+}
+
+// maintain begins the upkeep of a machine, or returns the reason of a refusal.
+func (c *cloud) maintain(machine string, wave int64, fence uint64) string {
+	i := slices.IndexFunc(c.h.executors, func(e *executor) bool { return e.machine == machine })
+	if i < 0 || wave == 0 {
+		return "busy"
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.fences == nil {
+		c.fences, c.done, c.down = map[string]uint64{}, map[string]int64{}, map[string]bool{}
+	}
+	switch {
+	case fence < c.fences[machine]:
+		return "fence"
+	case c.done[machine] == wave:
+		return ""
+	case c.down[machine]:
+		return "busy"
+	}
+	c.fences[machine], c.done[machine], c.down[machine] = fence, wave, true
+	c.h.event(event{Kind: "upkeep", Executor: machine, Run: uint64(len(c.down))})
+	e := c.h.executors[i]
+	e.crash()
+	h := c.h
+	former := e.id
+	time.AfterFunc(3*heartbeat, func() { h.store.Remove("servers/" + former) })
+	e.mutex.Lock()
+	e.generation++
+	e.id = fmt.Sprintf("%s-%d", e.machine, e.generation)
+	e.mutex.Unlock()
+	time.AfterFunc(upkeepTime, func() {
+		c.mutex.Lock()
+		delete(c.down, machine)
+		c.mutex.Unlock()
+		e.powerOn(e.kind)
+	})
+	return ""
+}
+
+func (c *cloud) hold(late time.Duration, held func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.late, c.held = late, held
+}
+
+func (c *cloud) doneCount() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.done)
+}
+
+// wave declares a wave over all machines.
+func (h *harness) wave(number int64, maximum, deadline int) {
+	var names []string
+	for _, e := range h.executors {
+		names = append(names, e.machine)
+	}
+	data, _ := json.Marshal(map[string]any{"wave": number, "machines": names, "deadline-s": deadline, "maximum": maximum})
+	h.store.Put(fmt.Sprintf("op/wave/%d", number), data)
+	h.note("wave %d of %d machines, %d at once", number, len(names), maximum)
 }
 
 // adviser stands in for the service that names the executors which may run a step. It allows all of them.
