--- a/review/driver-2/cancel.go
+++ b/review/driver-2/cancel.go
@@ -23,6 +23,8 @@
 		h.store.Remove("teaselloft/own/member/" + old.name)
 		h.note("the store turns %s away and has taken its keys", old.name)
 	}
+	ready, _ := get("http://" + old.ready + "/readyz")
+	h.note("%s answers the readiness check with %d", old.name, ready)
 	type cancelled struct {
 		id string
 		at time.Duration
--- a/review/driver-2/executor.go
+++ b/review/driver-2/executor.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -344,7 +345,7 @@
 		e.h.event(event{Kind: "refuse", Executor: e.id, Life: l.number, Task: b.Task, Run: b.Run, How: "ticket"})
 		return "ticket"
 	}
-	length, how := lengthOf(b.Spec, b.Task, b.Run)
+	length, how := lengthOf(b.Spec)
 	r := &run{number: b.Run}
 	r.timer = time.AfterFunc(length, func() {
 		e.mutex.Lock()
@@ -429,3 +430,20 @@
 		}
 	}
 }
+
+// lengthOf returns how long a task runs and how it ends. The spec is a duration, or "fail" and a duration.
+func lengthOf(spec string) (length time.Duration, how string) {
+	length, how = 200*time.Millisecond, "done"
+	words := strings.Fields(spec)
+	if len(words) == 0 {
+		return length, how
+	}
+	d, err := time.ParseDuration(words[len(words)-1])
+	if err != nil {
+		return length, how
+	}
+	if words[0] == "fail" {
+		return d, "failed"
+	}
+	return d, "done"
+}
