--- a/review/driver-2/ends.go
+++ b/review/driver-2/ends.go
@@ -18,12 +18,12 @@
 	time.Sleep(2 * time.Second)
 	owner := h.owner("halfmast")
 	clients := h.others(owner)
-	const jobs, width = 40, 24
+	const jobs, width = 60, 24
 	var wg sync.WaitGroup
 	for i := range jobs {
 		wg.Go(func() {
 			time.Sleep(time.Duration(i) * 25 * time.Millisecond)
-			h.submit(clients[i%2], fmt.Sprintf("/q/%016x", 0xe00+i), jobBody("4s", map[string]any{"count": width, "cpu": 15, "mem-mb": 8, "estimate-ms": 4000}))
+			h.submit(clients[i%2], fmt.Sprintf("/q/%016x", 0xe00+i), jobBody("4500ms", map[string]any{"count": width, "cpu": 11, "mem-mb": 8, "estimate-ms": 4500}))
 		})
 	}
 	wg.Wait()
@@ -37,7 +37,7 @@
 		return n >= jobs*width
 	})
 	first := h.snapshot()[0].At
-	time.Sleep(first + 3200*time.Millisecond - time.Since(h.began))
+	time.Sleep(first + 4200*time.Millisecond - time.Since(h.began))
 	if h.trouble {
 		owner.signal(syscall.SIGKILL)
 		h.await(15*time.Second, "the pool has another owner", func() bool { o := h.owner("halfmast"); return o != nil && o != owner })
