Review: let the check of TWICE know the excuse for a lapsed lease

Cause: by the rule an end isn't taken note of if the executor's lease lapsed before; the check of cases 6 and 8 didn't ask, and was stricter.

--- a/review/driver-2/executor.go
+++ b/review/driver-2/executor.go
@@ -324,6 +324,7 @@
 		if l.over || l.clock() < l.expires {
 			return
 		}
+		e.h.event(event{Kind: "lapse", Executor: e.id, Life: l.number})
 		for task, r := range l.runs {
 			e.end(l, task, r.number, "lapsed")
 		}
