Give calls to each incarnation of an executor a token of their own

Cause: a call names its executor by the ID and carried the epoch as token; neither changes with a restart, and the expiry of an order counts on the former clock. The owner took the runs of the former incarnation for ended when it saw another time of birth, although its own orders were still to arrive.

The token now has the epoch as its high part and the number of the incarnation as its low one. After a restart the owner calls with a higher token; the first answer closes the executor to earlier calls and lists what they have started. Former runs count as present until then. Results carry the token of their call, and the refusal of a call for a former incarnation is no reason to step down. A new owner waits for the answer of an executor that has restarted. The time until which an executor is vacated outlasts a restart.

The simulation now carries out hanging and late orders on the next incarnation. It leaves out those that the former one would have refused, which nothing on the wire prevents, and caps leases as executors do.

--- a/internal/bench/surge/cycle.go
+++ b/internal/bench/surge/cycle.go
@@ -31,7 +31,13 @@
 		stored.Jobs = append(stored.Jobs, schedule.StoredJob{ID: sub.ID, Record: job.Record{Submission: &sub}})
 	}
 	s := schedule.New(poolName, 1, schedule.DefaultPolicy(6*time.Second), now, unixMilli(now)).WithConfirmation(now)
-	s, _ = schedule.Recover(s, config(), stored)
+	s, effects := schedule.Recover(s, config(), stored)
+	var token uint64
+	for _, e := range effects {
+		if h, ok := e.(schedule.SendHeartbeat); ok {
+			token = h.Heartbeat.FencingToken
+		}
+	}
 	step := func(m schedule.Message) {
 		var effects []schedule.Effect
 		s, effects = schedule.Step(s, m)
@@ -44,7 +50,7 @@
 	best := time.Duration(math.MaxInt64)
 	for range cycles {
 		now += tickInterval
-		step(schedule.HeartbeatResult{Executor: x.ID, Sent: now, Now: now, Report: port.ExecutorReport{Clock: now.Milliseconds(), Born: born}})
+		step(schedule.HeartbeatResult{Executor: x.ID, FencingToken: token, Sent: now, Now: now, Report: port.ExecutorReport{Clock: now.Milliseconds(), Born: born}})
 		step(schedule.Tick{Now: now, Unix: unixMilli(now)})
 		began := threadTime()
 		step(schedule.RunCycle{Now: now})
--- a/internal/bench/surge/owner.go
+++ b/internal/bench/surge/owner.go
@@ -176,7 +176,7 @@
 		sent := o.now
 		o.after(e.Delay+networkTime, func() {
 			o.pool.heartbeat(e, func(r port.ExecutorReport) {
-				o.send(schedule.HeartbeatResult{Executor: e.Executor, Sent: sent, Now: o.now, Report: r})
+				o.send(schedule.HeartbeatResult{Executor: e.Executor, FencingToken: e.Heartbeat.FencingToken, Sent: sent, Now: o.now, Report: r})
 			})
 		})
 	case schedule.Note:
--- a/internal/bench/surge/pool.go
+++ b/internal/bench/surge/pool.go
@@ -53,7 +53,7 @@
 	x.runs[task] = port.ActiveRun{Task: task, Run: o.Start.Run, Percent: 50}
 	p.starts++
 	p.after(networkTime, func() {
-		p.owner.send(schedule.OrderResult{Executor: o.Executor, Kind: schedule.OrderStart, Task: task, Run: o.Start.Run, Now: p.now})
+		p.owner.send(schedule.OrderResult{Executor: o.Executor, FencingToken: o.Start.FencingToken, Kind: schedule.OrderStart, Task: task, Run: o.Start.Run, Now: p.now})
 	})
 	p.after(runTime, func() {
 		delete(x.runs, task)
--- a/internal/decision/schedule/advice_test.go
+++ b/internal/decision/schedule/advice_test.go
@@ -57,7 +57,7 @@
 	starts, _ = runCycle(10 * time.Millisecond)
 	c.Assert(starts, qt.HasLen, 1)
 	c.Assert(starts[0].Ticket, qt.Equals, "t1")
-	p.step(schedule.OrderResult{Executor: "x", Kind: schedule.OrderStart, Task: starts[0].Task, Run: starts[0].Run, Now: p.now, Err: port.ErrTicketRejected})
+	p.step(schedule.OrderResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Kind: schedule.OrderStart, Task: starts[0].Task, Run: starts[0].Run, Now: p.now, Err: port.ErrTicketRejected})
 	starts, requested = runCycle(time.Second)
 	c.Assert(starts, qt.HasLen, 0, qt.Commentf("the executor has rejected the ticket"))
 	c.Assert(requested, qt.HasLen, 1)
--- a/internal/decision/schedule/commit_test.go
+++ b/internal/decision/schedule/commit_test.go
@@ -113,7 +113,7 @@
 		ended = append(ended, port.EndedRun{Number: uint64(i + 1), Task: s.Task, Run: s.Run, Outcome: job.OutcomeDone})
 	}
 	p.now += time.Second
-	p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Ended: ended}})
+	p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Ended: ended}})
 	inFlight := commits(p.step(schedule.RunCycle{Now: p.now}))
 	c.Assert(len(inFlight) >= 2, qt.IsTrue)
 	for i, x := range inFlight {
--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -17,6 +17,7 @@
 	since         time.Duration // start of the phase
 	lastOrderAt   time.Duration // when the last order about it was sent or answered
 	stopConfirmed bool          // a stop order was answered, so the run has ended or will never start
+	former        bool          // it was ordered from an earlier incarnation, and the present one has not listed its runs yet
 	unreadySince  time.Duration // when a report first listed it below 100 percent; 0 if the last one did not
 	percent       int           // reported progress; a long-running task is ready at 100
 	speed         int           // last ordered speed in percent of full speed
@@ -36,6 +37,8 @@
 	listed            bool          // present in the store's list
 	replaced          bool          // its instance runs a later executor
 	born              int64         // start of the incarnation in Unix milliseconds; 0 if unknown
+	fencingToken      uint64        // of all calls to this incarnation
+	formerCalls       bool          // calls for an earlier incarnation may have reached this one before its first answer
 	open              bool          // has answered a heartbeat with this owner's fencing token
 	openedAt          time.Duration // first such answer
 	acceptedAt        time.Duration // when the last heartbeat that it has answered was sent
--- a/internal/decision/schedule/gang_test.go
+++ b/internal/decision/schedule/gang_test.go
@@ -37,7 +37,7 @@
 		Jobs: []schedule.StoredJob{{ID: sub.ID, Record: job.Record{Submission: &sub}}}, Listed: []site.Executor{executor("x"), executor("y")},
 	})
 	report := func(id string, ended ...port.EndedRun) []schedule.Effect {
-		return p.step(schedule.HeartbeatResult{Executor: id, Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Ended: ended}})
+		return p.step(schedule.HeartbeatResult{Executor: id, FencingToken: fencingToken(p.state, id), Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Ended: ended}})
 	}
 	report("x")
 	report("y")
@@ -48,7 +48,7 @@
 		_, stopped := e.(schedule.StopRun)
 		c.Check(stopped, qt.IsFalse, qt.Commentf("the other member has ended as well"))
 	}
-	p.step(schedule.HeartbeatResult{Executor: "y", Sent: p.now, Now: p.now, Err: errors.New("no answer")})
+	p.step(schedule.HeartbeatResult{Executor: "y", FencingToken: fencingToken(p.state, "y"), Sent: p.now, Now: p.now, Err: errors.New("no answer")})
 	next := p.startsWithin(time.Second, nil)
 	c.Assert(next, qt.HasLen, 1)
 	c.Assert(next[0].Task.Step, qt.Equals, 1)
@@ -86,7 +86,7 @@
 	p.heartbeat()
 	starts := p.startsWithin(time.Second, nil)
 	c.Assert(starts, qt.HasLen, 2)
-	effects := p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: port.ExecutorReport{
+	effects := p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Report: port.ExecutorReport{
 		Clock: p.now.Milliseconds(), Runs: []port.ActiveRun{{Task: starts[1].Task, Run: starts[1].Run}},
 		Ended: []port.EndedRun{{Number: 1, Task: starts[0].Task, Run: starts[0].Run, Outcome: job.OutcomeDone}},
 	}})
--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -38,7 +38,7 @@
 
 func (t *transition) addExecutor(x site.Executor) {
 	t.emit(Connect{Executor: x}, note(slog.LevelInfo, "executor.listed", "executor", x.ID, "pool", x.Pool, "instance", x.Instance))
-	t.sendHeartbeat(executorState{info: x, listed: true, born: x.Born}, 0, 0, false)
+	t.sendHeartbeat(executorState{info: x, listed: true, born: x.Born, fencingToken: t.nextFencingToken(x.ID), formerCalls: true}, 0, 0, false)
 }
 
 func (t *transition) updateExecutor(e executorState, x site.Executor) {
@@ -52,9 +52,8 @@
 		if x.Born != 0 && e.born != 0 && x.Born < e.born {
 			return // the list is older than the executor's own report
 		}
-		t.emit(Connect{Executor: x})
-		e = t.newIncarnation(e, x.Born)
-		e.info, e.listed = x, true
+		e = t.newIncarnation(e, x)
+		e.listed = true
 		t.sendHeartbeat(e, 0, 0, false)
 		return
 	}
@@ -68,22 +67,63 @@
 	}
 }
 
-// newIncarnation returns the state of an executor that has restarted. The runs of the former incarnation have ended, and
-// another owner may have acknowledged an end as done, so that their tasks wait for a confirmation of the ownership.
-func (t *transition) newIncarnation(e executorState, born int64) executorState {
-	t.emit(note(slog.LevelInfo, "executor.reborn", "executor", e.info.ID, "born", born, "before", e.born, "runs", len(e.runs)))
-	e = t.endIncarnation(e)
-	e.born = born
+// newIncarnation returns the state of an executor that has restarted.
+//
+// Calls for the former incarnation may still reach the new one, which has the same ID and has seen no fencing token. Its
+// calls therefore get a higher one: the first of them that is answered keeps all earlier calls from having an effect, and
+// its answer lists what they have started. Until then the runs of the former incarnation count as present.
+func (t *transition) newIncarnation(e executorState, x site.Executor) executorState {
+	t.emit(Connect{Executor: x}, note(slog.LevelInfo, "executor.reborn", "executor", x.ID, "born", x.Born, "before", e.born, "runs", len(e.runs)))
+	t.s.usedChanged = true
+	t.awaitFormerCalls(x.ID)
+	restarted := executorState{
+		info: x, listed: e.listed, born: x.Born, fencingToken: t.nextFencingToken(x.ID), formerCalls: true,
+		runs: make([]*runState, 0, len(e.runs)), allocated: e.allocated, strays: e.strays, vacateUntil: e.vacateUntil, vacatingSince: e.vacatingSince,
+	}
+	for _, r := range e.runs {
+		run := *r
+		run.former, run.stopConfirmed = true, false
+		restarted.runs = append(restarted.runs, &run)
+	}
+	return restarted.withClock(0, t.s.now, t.s.policy.Lease)
+}
+
+// withClock returns a copy with a reading of the executor's clock, after which no lease lasts longer than the given time.
+func (e executorState) withClock(clock int64, at, lease time.Duration) executorState {
+	e.clock, e.clockReadAt, e.leaseExpires = clock, at, clock+(lease+leaseMargin).Milliseconds()
 	return e
 }
 
+// A fencing token consists of the epoch and the number of the incarnation among those that this owner has called. It is
+// encoded as a JSON number, which is exact up to 53 bits.
+const (
+	incarnationBits = 24
+	maxIncarnations = 1<<incarnationBits - 1 // about three days at 64 new executors a second, the platform's limit for moves
+)
+
+// nextFencingToken returns a token for the calls to an incarnation that exceeds those for all others. An owner without
+// further numbers gives the pool up, since the next one has a new epoch.
+func (t *transition) nextFencingToken(executor string) uint64 {
+	if t.s.incarnations == maxIncarnations {
+		t.emit(StepDown{Executor: executor, Reason: errNoFencingToken})
+	} else {
+		t.s.incarnations++
+	}
+	return t.s.Epoch<<incarnationBits | t.s.incarnations
+}
+
+var (
+	errNoFencingToken = errors.New("fencing tokens of the epoch are used up")
+	errSucceeded      = errors.New("an executor has seen a higher fencing token")
+)
+
 // endIncarnation returns the state of an executor whose incarnation has ended with all its runs.
 func (t *transition) endIncarnation(e executorState) executorState {
 	for _, r := range e.runs {
 		t.s.vanished = append(slices.Clip(t.s.vanished), vanishedRun{task: r.task, run: r.run, at: t.s.now})
 	}
 	t.s.usedChanged = true
-	return executorState{info: e.info, listed: e.listed, born: e.born, heartbeatInFlight: e.heartbeatInFlight}
+	return executorState{info: e.info, listed: e.listed, born: e.born, fencingToken: e.fencingToken, heartbeatInFlight: e.heartbeatInFlight}
 }
 
 // handleExecutorsReplaced ends the wait for silent executors whose instances run a later one. As after a restart, their
@@ -103,6 +143,16 @@
 	}
 }
 
+// awaitFormerCalls makes this owner wait for the answer of an executor that has restarted since a former owner used it. The
+// runs of the former incarnation have ended, but calls for it may have started some on the present one.
+func (t *transition) awaitFormerCalls(id string) {
+	if !t.s.isUnsettled(id) {
+		return
+	}
+	t.s.unsettled = maps.Clone(t.s.unsettled)
+	t.s.unsettled[id] = t.s.now + t.s.policy.waitForFormerCalls()
+}
+
 // settleAfterCommit ends the wait for an executor that runs nothing any more once a commit has confirmed that no other owner
 // has noted the ends of its runs.
 func (t *transition) settleAfterCommit(id string) {
@@ -125,11 +175,11 @@
 
 // sendHeartbeat asks an executor for its runs, after a delay, and renews their lease.
 func (t *transition) sendHeartbeat(e executorState, wait, delay time.Duration, reset bool) {
-	h := port.Heartbeat{FencingToken: t.s.Epoch, Wait: wait}
+	h := port.Heartbeat{FencingToken: e.fencingToken, Wait: wait}
 	if e.failingSince == 0 && e.open {
 		h.Ack = e.ackedEnd // a silent executor may have restarted, and the new incarnation reuses the numbers
 	}
-	if e.clockReadAt != 0 && e.failingSince == 0 && t.s.now+delay <= t.s.validUntil() && !t.s.isReleased(e.info.ID) {
+	if e.open && e.failingSince == 0 && t.s.now+delay <= t.s.validUntil() && !t.s.isReleased(e.info.ID) {
 		h.Expires = e.localTime(t.s.now+delay) + t.s.policy.Lease.Milliseconds()
 		e.leaseExpires = max(e.leaseExpires, h.Expires)
 	}
@@ -140,14 +190,14 @@
 
 func (t *transition) handleHeartbeatResult(m HeartbeatResult) {
 	e, ok := t.s.executor(m.Executor)
-	if !ok {
+	if !ok || m.FencingToken != e.fencingToken { // it tells nothing of the present incarnation
 		return
 	}
 	e.heartbeatInFlight = false
 	switch {
 	case errors.Is(m.Err, port.ErrFenced):
 		t.s = t.s.withExecutor(e)
-		t.emit(StepDown{Executor: m.Executor})
+		t.emit(StepDown{Executor: m.Executor, Reason: errSucceeded})
 	case m.Err != nil:
 		t.handleHeartbeatFailure(e, m)
 	default:
@@ -180,8 +230,11 @@
 func (t *transition) handleReport(e executorState, m HeartbeatResult) {
 	report := m.Report
 	if e.born != 0 && report.Born != 0 && report.Born != e.born {
-		e = t.newIncarnation(e, report.Born)
-		t.settleAfterCommit(e.info.ID)
+		info := e.info
+		info.Born = report.Born
+		e = t.newIncarnation(e, info).withClock(report.Clock, m.Now, t.s.policy.Lease)
+		t.sendHeartbeat(e, 0, 0, false)
+		return
 	}
 	if report.Born != 0 {
 		e.born = report.Born
@@ -209,7 +262,11 @@
 	t.reconcile(e.info.ID, m)
 	t.adjustThrottle(e.info.ID)
 	t.planNextHeartbeat(e.info.ID, generationBefore)
-	if t.s.isUnsettled(e.info.ID) && t.s.now < t.s.settlesAt(e.info.ID) {
+	switch {
+	case !t.s.isUnsettled(e.info.ID) || t.s.now >= t.s.settlesAt(e.info.ID):
+	case e.formerCalls: // another owner may have noted the ends of an earlier incarnation
+		t.settleAfterCommit(e.info.ID)
+	default:
 		t.settle(func(id string) bool { return id != e.info.ID })
 	}
 }
--- a/internal/decision/schedule/lasting_test.go
+++ b/internal/decision/schedule/lasting_test.go
@@ -26,7 +26,7 @@
 	for i, s := range runs {
 		report.Ended = append(report.Ended, port.EndedRun{Number: first + uint64(i), Task: s.Task, Run: s.Run, Outcome: outcome})
 	}
-	return p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: report})
+	return p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Report: report})
 }
 
 // startsWithin returns the starts of the cycles within a duration; their orders succeed.
@@ -34,7 +34,7 @@
 	for until := p.now + length; p.now < until; p.now += 50 * time.Millisecond {
 		for _, s := range p.cycle(record) {
 			starts = append(starts, s)
-			p.step(schedule.OrderResult{Executor: "x", Kind: schedule.OrderStart, Task: s.Task, Run: s.Run, Now: p.now})
+			p.step(schedule.OrderResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Kind: schedule.OrderStart, Task: s.Task, Run: s.Run, Now: p.now})
 		}
 	}
 	return starts
@@ -72,7 +72,7 @@
 	c.Assert(starts, qt.HasLen, 1)
 	late := starts[0]
 	late.Run-- // of a former owner
-	effects := p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: port.ExecutorReport{
+	effects := p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Report: port.ExecutorReport{
 		Clock: p.now.Milliseconds(), Runs: []port.ActiveRun{{Task: starts[0].Task, Run: starts[0].Run, Percent: 100}},
 		Ended: []port.EndedRun{{Number: 1, Task: late.Task, Run: late.Run, Outcome: job.OutcomeDone}},
 	}})
--- a/internal/decision/schedule/message.go
+++ b/internal/decision/schedule/message.go
@@ -63,21 +63,23 @@
 
 // HeartbeatResult is the result of a SendHeartbeat effect.
 type HeartbeatResult struct {
-	Executor string
-	Sent     time.Duration
-	Now      time.Duration
-	Report   port.ExecutorReport
-	Err      error
+	Executor     string
+	FencingToken uint64 // of the heartbeat
+	Sent         time.Duration
+	Now          time.Duration
+	Report       port.ExecutorReport
+	Err          error
 }
 
 // OrderResult is the result of a StartRun, StopRun or ThrottleRun effect.
 type OrderResult struct {
-	Executor string
-	Kind     OrderKind
-	Task     job.Task
-	Run      uint64
-	Now      time.Duration
-	Err      error
+	Executor     string
+	FencingToken uint64 // of the order
+	Kind         OrderKind
+	Task         job.Task
+	Run          uint64
+	Now          time.Duration
+	Err          error
 }
 
 // CommitResult is the result of a Commit effect. An error that wraps port.ErrRefused means that the commit had no
@@ -208,8 +210,11 @@
 	Executors []string
 }
 
-// StepDown gives up the ownership of the pool, since an executor has seen the higher fencing token of another owner.
-type StepDown struct{ Executor string }
+// StepDown gives up the ownership of the pool because of an executor.
+type StepDown struct {
+	Executor string
+	Reason   error
+}
 
 // HandedOver reports that the next owner can take the pool over.
 type HandedOver struct{}
--- a/internal/decision/schedule/order.go
+++ b/internal/decision/schedule/order.go
@@ -16,7 +16,7 @@
 		r.phase, r.since = stopping, t.s.now
 	}
 	r.lastOrderAt = t.s.now
-	t.emit(StopRun{Executor: e.info.ID, Stop: port.Stop{Task: r.task, Run: r.run, FencingToken: t.s.Epoch}})
+	t.emit(StopRun{Executor: e.info.ID, Stop: port.Stop{Task: r.task, Run: r.run, FencingToken: e.fencingToken}})
 	t.updateTask(r.task, func(x taskState) taskState {
 		if x.run == r.run && x.phase != done {
 			x.phase, x.since = stopping, t.s.now
@@ -44,11 +44,11 @@
 
 func (t *transition) handleOrderResult(m OrderResult) {
 	e, ok := t.s.executor(m.Executor)
-	if !ok {
+	if !ok || m.FencingToken != e.fencingToken { // the order was for an earlier incarnation
 		return
 	}
 	if errors.Is(m.Err, port.ErrFenced) {
-		t.emit(StepDown{Executor: m.Executor})
+		t.emit(StepDown{Executor: m.Executor, Reason: errSucceeded})
 		return
 	}
 	if m.Kind == OrderThrottle {
--- a/internal/decision/schedule/ownership.go
+++ b/internal/decision/schedule/ownership.go
@@ -58,6 +58,12 @@
 	return time.Duration(float64(p.Lease)/minClockRate) + 2*leaseMargin
 }
 
+// waitForFormerCalls returns the time after which an executor that has restarted, and does not answer, has no runs left that
+// calls for its former incarnation have started. The former owner makes such calls until it notices the restart.
+func (p Policy) waitForFormerCalls() time.Duration {
+	return confirmationAge + time.Duration(float64(p.Lease)/minClockRate) + 2*leaseMargin
+}
+
 // waitForFormer returns the time after which a former owner without a quorum has no runs left.
 func (p Policy) waitForFormer() time.Duration { return confirmationAge + p.waitForExited() }
 
--- a/internal/decision/schedule/ownership_test.go
+++ b/internal/decision/schedule/ownership_test.go
@@ -30,7 +30,7 @@
 	for end := p.now + length; p.now < end; {
 		p.now += 500 * time.Millisecond
 		collect(p.step(schedule.HeartbeatResult{
-			Executor: "x", Sent: p.now - 400*time.Millisecond, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Born: born},
+			Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now - 400*time.Millisecond, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Born: born},
 		}))
 		collect(p.step(schedule.Tick{Now: p.now, Unix: 1000}))
 		collect(p.step(schedule.RunCycle{Now: p.now}))
@@ -67,7 +67,7 @@
 func TestRestartedExecutorDoesNotConfirm(t *testing.T) {
 	c := qt.New(t)
 	p := newSingleExecutor(&site.Config{Version: 1})
-	p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Born: 1}})
+	p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Born: 1}})
 	p.confirm()
 	p.outage(3*time.Second, 1)
 	heartbeats, _ := p.outage(6*time.Second, 2)
--- a/internal/decision/schedule/partial_test.go
+++ b/internal/decision/schedule/partial_test.go
@@ -25,7 +25,7 @@
 		p.now += 50 * time.Millisecond
 		for _, x := range p.cycle(nil) {
 			starts = append(starts, x)
-			p.step(schedule.OrderResult{Executor: "x", Kind: schedule.OrderStart, Task: x.Task, Run: x.Run, Now: p.now})
+			p.step(schedule.OrderResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Kind: schedule.OrderStart, Task: x.Task, Run: x.Run, Now: p.now})
 		}
 	}
 	c.Assert(starts, qt.HasLen, tasks)
@@ -44,11 +44,11 @@
 	}
 	for range 3 {
 		p.now += 50 * time.Millisecond
-		p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: report})
+		p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Report: report})
 		c.Assert(restarts(), qt.Equals, 0)
 	}
 	report.Ended = report.Ended[1:] // an acknowledged end makes room, so the report is complete and the run has not ended
 	p.now += 50 * time.Millisecond
-	p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: report})
+	p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Report: report})
 	c.Assert(restarts(), qt.Equals, 1)
 }
--- a/internal/decision/schedule/place.go
+++ b/internal/decision/schedule/place.go
@@ -324,7 +324,7 @@
 		x := &ts.tasks[c.index]
 		e := c.on.executor
 		t.emit(StartRun{Executor: e.info.ID, Start: port.Start{
-			Task: p.task(c.index), Run: c.run, Spec: j.sub.Spec, FencingToken: t.s.Epoch, Expires: t.s.startExpires(e),
+			Task: p.task(c.index), Run: c.run, Spec: j.sub.Spec, FencingToken: e.fencingToken, Expires: t.s.startExpires(e),
 			Ticket: p.tickets[e.info.ID], Checkpoint: x.checkpoint,
 		}})
 		x.phase, x.run, x.executor, x.since = starting, c.run, e.info.ID, t.s.now
--- a/internal/decision/schedule/reconcile.go
+++ b/internal/decision/schedule/reconcile.go
@@ -63,6 +63,7 @@
 // withReported returns a run as its executor lists it.
 func (t *transition) withReported(r runState, a port.ActiveRun) runState {
 	r = r.withProgress(a, t.s.now)
+	r.former = false
 	if r.phase == starting {
 		r.phase, r.since, r.lastOrderAt = running, t.s.now, t.s.now
 		t.confirmStart(r)
@@ -90,6 +91,9 @@
 // reconcileMissing handles a run that the executor does not list. It counts as gone only if the report lists all ended
 // runs, and the heartbeat was sent after the last order about it was answered, or after its start must have expired.
 func (t *transition) reconcileMissing(e executorState, r runState, m HeartbeatResult) executorState {
+	if r.former {
+		return t.endFormerRun(e, r, m.Report)
+	}
 	gone := false
 	switch r.phase {
 	case running:
@@ -112,6 +116,15 @@
 	return e.withoutRun(e.findRun(r.task, r.run))
 }
 
+// endFormerRun removes a run of an earlier incarnation that the present one does not list and will not start any more.
+func (t *transition) endFormerRun(e executorState, r runState, report port.ExecutorReport) executorState {
+	if report.IsPartial() {
+		return e
+	}
+	t.s.vanished = append(slices.Clip(t.s.vanished), vanishedRun{task: r.task, run: r.run, at: t.s.now})
+	return e.withoutRun(e.findRun(r.task, r.run))
+}
+
 // adoptRun takes over a run that this owner did not order, or stops it if it is not wanted.
 func (t *transition) adoptRun(e executorState, a port.ActiveRun) executorState {
 	j, x, ok := t.findTask(a.Task)
--- a/internal/decision/schedule/recover.go
+++ b/internal/decision/schedule/recover.go
@@ -57,7 +57,7 @@
 	for _, u := range stored.Used.Executors {
 		t.s.unsettled[u.ID] = t.s.lapseTime(u.Lapse)
 		if u.Born != 0 && born[u.ID] > u.Born {
-			t.s.unsettled[u.ID] = t.s.now // it has started again
+			t.awaitFormerCalls(u.ID)
 		}
 	}
 	if stored.isPartial() {
@@ -89,12 +89,28 @@
 	t.addDueOccurrences()
 	t.handleExecutorsListed(executors)
 	t.handleExecutorsListed(stored.Listed) // the others remain until they have no runs
+	t.clearFormerCalls(stored.Used)
 	if len(t.s.unsettled) == 0 {
 		t.settle(nil)
 	}
 	return t.s, t.effects
 }
 
+// clearFormerCalls marks the executors that have not restarted since the former owner wrote the record.
+func (t *transition) clearFormerCalls(used cluster.Used) {
+	born := map[string]int64{}
+	for _, u := range used.Executors {
+		born[u.ID] = u.Born
+	}
+	t.s.eachExecutor(func(x *executorState) {
+		if b, ok := born[x.info.ID]; ok && b == x.born || used.Epoch == 0 {
+			e := *x
+			e.formerCalls = false
+			t.s = t.s.withExecutor(e)
+		}
+	})
+}
+
 // lapseTime returns the time by which runs have ended according to a record that was written before now, or 0 if the
 // record does not tell. Another writer may have damaged the record, so that no wait exceeds the longest one.
 func (s State) lapseTime(lapse int64) time.Duration {
--- a/internal/decision/schedule/reject.go
+++ b/internal/decision/schedule/reject.go
@@ -12,7 +12,7 @@
 			return nil, nil, false
 		}
 		// The executor then counts as silent, and its lease is not renewed.
-		return HeartbeatResult{Executor: m.Executor, Sent: m.Sent, Now: m.Now, Err: reason}, nil, true
+		return HeartbeatResult{Executor: m.Executor, FencingToken: m.FencingToken, Sent: m.Sent, Now: m.Now, Err: reason}, nil, true
 	case Submit:
 		return nil, []Effect{Answer{Token: m.Token, Err: port.ErrUnknownOutcome}}, true
 	case Relinquish:
--- a/internal/decision/schedule/released_test.go
+++ b/internal/decision/schedule/released_test.go
@@ -54,11 +54,11 @@
 
 func (p *releasing) answer() schedule.Message {
 	run := port.ActiveRun{Task: job.Task{Job: "0000000000000001"}, Run: 1, Percent: 100}
-	return schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Runs: []port.ActiveRun{run}}}
+	return schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Runs: []port.ActiveRun{run}}}
 }
 
 func (p *releasing) silence() schedule.Message {
-	return schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Err: errors.New("no answer")}
+	return schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Err: errors.New("no answer")}
 }
 
 // store answers all commits that wait and returns the last record of the used executors among them.
@@ -269,7 +269,7 @@
 		begin := p.now
 		for p.now < begin+14*time.Second {
 			for _, id := range []string{"y", "z"} {
-				p.observe(p.step(schedule.HeartbeatResult{Executor: id, Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds()}}))
+				p.observe(p.step(schedule.HeartbeatResult{Executor: id, FencingToken: fencingToken(p.state, id), Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds()}}))
 			}
 			_, starts := p.pass(p.silence())
 			c.Assert(starts, qt.Equals, 0, qt.Commentf("%v after the takeover, lapse %d", p.now-begin, lapse))
--- a/internal/decision/schedule/replaced_test.go
+++ b/internal/decision/schedule/replaced_test.go
@@ -27,7 +27,7 @@
 		Used: cluster.Used{Epoch: 1, Executors: []cluster.UsedExecutor{{ID: "x", Address: "x", Instance: "m-x", Born: 100}, {ID: "y", Address: "y", Instance: "m-y", Born: 100}}},
 	})
 	return p, func() {
-		p.step(schedule.HeartbeatResult{Executor: "y", Sent: p.now, Now: p.now, Err: errors.New("no answer")})
+		p.step(schedule.HeartbeatResult{Executor: "y", FencingToken: fencingToken(p.state, "y"), Sent: p.now, Now: p.now, Err: errors.New("no answer")})
 	}
 }
 
@@ -58,7 +58,7 @@
 	p, silent := newPair()
 	on := port.ActiveRun{Task: job.Task{Job: "0000000000000001"}, Run: 1, Percent: 100}
 	answer := func() {
-		p.step(schedule.HeartbeatResult{Executor: "y", Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Born: 100, Runs: []port.ActiveRun{on}}})
+		p.step(schedule.HeartbeatResult{Executor: "y", FencingToken: fencingToken(p.state, "y"), Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Born: 100, Runs: []port.ActiveRun{on}}})
 	}
 	p.now += 50 * time.Millisecond
 	p.heartbeat()
--- a/internal/decision/schedule/silent_test.go
+++ b/internal/decision/schedule/silent_test.go
@@ -18,7 +18,7 @@
 	p.heartbeat(runs...)
 	for until := p.now + length; p.now < until; {
 		delay := length
-		for _, e := range p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Err: errors.New("no answer")}) {
+		for _, e := range p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Err: errors.New("no answer")}) {
 			if x, ok := e.(schedule.SendHeartbeat); ok {
 				n, delay = n+1, x.Delay
 			}
--- a/internal/decision/schedule/simulation_test.go
+++ b/internal/decision/schedule/simulation_test.go
@@ -40,7 +40,10 @@
 	slowTakeover      time.Duration   // time between the write of an epoch and the recovery of its owner
 	cuts              map[path]cut    // between owners and executors
 	storeCuts         map[*owner]cut
-	onStoreHeal       map[*owner][]func() // calls to the store that got no answer
+	onStoreHeal       map[*owner][]func()            // calls to the store that got no answer
+	hanging           map[string][]hangingOrder      // orders that reached no executor, by executor
+	fences            map[string]uint64              // by executor: the highest fencing token that any of its incarnations has seen
+	endedRuns         map[string]map[job.Task]uint64 // by executor: the highest run that has ended or was stopped on any of them
 	startTimes        map[job.Task][]time.Duration
 	acknowledgedTasks map[job.Task]bool
 	failedRuns        map[job.Task]map[uint64]bool
@@ -63,6 +66,29 @@
 	cutAnswers
 )
 
+// hangingOrder is an order to an executor that was down. The next incarnation carries it out.
+type hangingOrder struct {
+	lateOrder
+	sent time.Duration
+}
+
+// lateOrder is an order whose sender may have stopped waiting for the answer.
+type lateOrder struct {
+	token uint64
+	task  job.Task
+	run   uint64
+	do    func(*executor) error
+}
+
+// carryOutLate carries an order out after its sender has stopped waiting. An order that a former incarnation would have
+// refused, because of its token or its run, is dropped: no owner can keep the present one from carrying it out before its
+// first answer.
+func (sim *simulation) carryOutLate(id string, o lateOrder) {
+	if x := sim.running(id); x != nil && o.token >= sim.fences[id] && o.run > sim.endedRuns[id][o.task] {
+		_ = o.do(x)
+	}
+}
+
 // event is a function that the simulation calls at a given time.
 type event struct {
 	at     time.Duration
@@ -125,7 +151,7 @@
 	sim := &simulation{
 		cuts: map[path]cut{}, storeCuts: map[*owner]cut{}, onStoreHeal: map[*owner][]func(){},
 		t: t, now: time.Second, executors: map[string]*executor{}, records: map[string][]byte{}, jobs: map[job.ID]*trackedJob{},
-		acknowledgedTasks: map[job.Task]bool{}, failedRuns: map[job.Task]map[uint64]bool{}, startTimes: map[job.Task][]time.Duration{},
+		hanging: map[string][]hangingOrder{}, fences: map[string]uint64{}, endedRuns: map[string]map[job.Task]uint64{}, acknowledgedTasks: map[job.Task]bool{}, failedRuns: map[job.Task]map[uint64]bool{}, startTimes: map[job.Task][]time.Duration{},
 		config: &site.Config{
 			Version: 1, Pools: []site.Pool{{Name: pool}},
 			Queues: []site.Queue{{Name: "q", Pool: pool, Attempts: 3, Stretch: 2, Target: time.Second}},
@@ -146,6 +172,26 @@
 		},
 		up: true, startedAt: sim.now, runs: map[job.Task]run{}, highestRun: map[job.Task]uint64{},
 	}
+	for _, o := range sim.hanging[id] {
+		sim.after(time.Duration(rapid.IntRange(1, 400).Draw(sim.t, "hanging"))*time.Millisecond, func() {
+			if sim.now-o.sent < maxLateness {
+				sim.carryOutLate(id, o.lateOrder)
+			}
+		})
+	}
+	delete(sim.hanging, id)
+}
+
+// maxLateness is how long after it was sent an order may be carried out.
+const maxLateness = 12 * time.Second
+
+// running returns the present incarnation of an executor, or nil while it is down. Calls for an earlier incarnation reach
+// it, too, because the ID names both.
+func (sim *simulation) running(id string) *executor {
+	if x := sim.executors[id]; x != nil && x.up {
+		return x
+	}
+	return nil
 }
 
 // after schedules a call of do.
@@ -248,7 +294,7 @@
 	}
 	o := &owner{alive: true}
 	sim.owners = append(sim.owners, o)
-	s := schedule.New(pool, sim.epoch, schedule.DefaultPolicy(6*time.Second), sim.now, sim.unix()).WithConfirmation(sim.now - sim.slowTakeover)
+	s := schedule.New(pool, sim.epoch, schedule.DefaultPolicy(maxLease), sim.now, sim.unix()).WithConfirmation(sim.now - sim.slowTakeover)
 	state, effects := schedule.Recover(s, sim.config, stored)
 	o.state = state
 	sim.perform(o, effects)
@@ -312,9 +358,9 @@
 		case schedule.Commit:
 			sim.after(5*time.Millisecond, func() { sim.commit(o, e) })
 		case schedule.StartRun:
-			sim.order(o, schedule.OrderStart, e.Executor, e.Start.Task, e.Start.Run, func(x *executor) error { return sim.start(x, e.Start) })
+			sim.order(o, schedule.OrderStart, e.Executor, e.Start.FencingToken, e.Start.Task, e.Start.Run, func(x *executor) error { return sim.start(x, e.Start) })
 		case schedule.StopRun:
-			sim.order(o, schedule.OrderStop, e.Executor, e.Stop.Task, e.Stop.Run, func(x *executor) error { return sim.stop(x, e.Stop) })
+			sim.order(o, schedule.OrderStop, e.Executor, e.Stop.FencingToken, e.Stop.Task, e.Stop.Run, func(x *executor) error { return sim.stop(x, e.Stop) })
 		case schedule.ThrottleRun:
 		case schedule.SendHeartbeat:
 			sim.after(e.Delay+2*time.Millisecond, func() { sim.heartbeat(o, e) })
@@ -378,30 +424,28 @@
 }
 
 // order delivers an order at once, or loses the answer and delivers the order late or not at all.
-func (sim *simulation) order(o *owner, kind schedule.OrderKind, id string, task job.Task, number uint64, do func(*executor) error) {
-	x, born := sim.executors[id], int64(0)
-	if x != nil {
-		born = x.info.Born
-	}
-	sameIncarnation := func() bool { return x != nil && sim.executors[id] == x && x.up && x.info.Born == born }
+func (sim *simulation) order(o *owner, kind schedule.OrderKind, id string, token uint64, task job.Task, number uint64, do func(*executor) error) {
+	order := lateOrder{token: token, task: task, run: number, do: do}
 	reply := func(delay time.Duration, err error) {
 		sim.after(delay, func() {
-			sim.deliver(o, schedule.OrderResult{Executor: id, Kind: kind, Task: task, Run: number, Now: sim.now, Err: err})
+			sim.deliver(o, schedule.OrderResult{Executor: id, FencingToken: token, Kind: kind, Task: task, Run: number, Now: sim.now, Err: err})
 		})
 	}
 	unknownOutcome := fmt.Errorf("%w: no answer", port.ErrUnknownOutcome)
 	if rapid.Float64Range(0, 1).Draw(sim.t, "loss") < sim.lossRate {
-		late := time.Duration(rapid.IntRange(0, 12000).Draw(sim.t, "late")) * time.Millisecond
+		late := time.Duration(rapid.IntRange(0, int(maxLateness.Milliseconds())).Draw(sim.t, "late")) * time.Millisecond
 		sim.after(late, func() {
-			if sameIncarnation() {
-				_ = do(x)
-			}
+			sim.carryOutLate(id, order)
 		})
 		reply(600*time.Millisecond, unknownOutcome)
 		return
 	}
 	sim.after(time.Millisecond, func() {
-		if !sameIncarnation() || x.silentUntil > sim.now || !sim.reaches(o, id) {
+		x := sim.running(id)
+		if x == nil && sim.reaches(o, id) {
+			sim.hanging[id] = append(sim.hanging[id], hangingOrder{lateOrder: order, sent: sim.now})
+		}
+		if x == nil || x.silentUntil > sim.now || !sim.reaches(o, id) {
 			reply(600*time.Millisecond, unknownOutcome)
 			return
 		}
@@ -424,6 +468,20 @@
 	return int64(float64((now - x.startedAt).Milliseconds()) * clockRate)
 }
 
+// fence records a token that an executor has accepted.
+func (sim *simulation) fence(x *executor, token uint64) {
+	x.fence = token
+	sim.fences[x.info.ID] = max(sim.fences[x.info.ID], token)
+}
+
+// maxLease is the longest lease that executors accept.
+const maxLease = 6 * time.Second
+
+// extend extends the lease. A time on the clock of an earlier incarnation may be far ahead.
+func (x *executor) extend(expires int64, now time.Duration) {
+	x.expires = max(x.expires, min(expires, x.clock(now)+maxLease.Milliseconds()))
+}
+
 // endDueRuns ends the runs that are finished or whose lease has expired.
 func (sim *simulation) endDueRuns(x *executor) {
 	if !x.up {
@@ -457,7 +515,7 @@
 	r := x.runs[task]
 	delete(x.runs, task)
 	x.lastEnd++
-	x.highestRun[task] = max(x.highestRun[task], r.number)
+	sim.endRunNumber(x, task, r.number)
 	x.ends = append(x.ends, ended{EndedRun: port.EndedRun{Number: x.lastEnd, Task: task, Run: r.number, Outcome: how}, at: at, lapsed: lapsed})
 	sim.t.Logf("%v %s has ended %v run %d at %v: %v", sim.now, x.info.ID, task, r.number, at, how)
 	if how == job.OutcomeDone {
@@ -473,8 +531,8 @@
 	case s.Expires < x.clock(sim.now):
 		return port.ErrExpired
 	}
-	x.fence = s.FencingToken
-	x.expires = max(x.expires, s.Expires)
+	sim.fence(x, s.FencingToken)
+	x.extend(s.Expires, sim.now)
 	if r, ok := x.runs[s.Task]; ok && r.number == s.Run {
 		return nil
 	}
@@ -547,14 +605,24 @@
 	if s.FencingToken < x.fence {
 		return port.ErrFenced
 	}
-	x.fence = s.FencingToken
+	sim.fence(x, s.FencingToken)
 	if r, ok := x.runs[s.Task]; ok && r.number == s.Run {
 		sim.endRun(x, s.Task, job.OutcomeStopped, sim.now, false)
 	}
-	x.highestRun[s.Task] = max(x.highestRun[s.Task], s.Run)
+	sim.endRunNumber(x, s.Task, s.Run)
 	return nil
 }
 
+// endRunNumber records that a run has ended or was stopped. The executor starts neither it nor an earlier one any more.
+func (sim *simulation) endRunNumber(x *executor, task job.Task, number uint64) {
+	x.highestRun[task] = max(x.highestRun[task], number)
+	if sim.endedRuns[x.info.ID] == nil {
+		sim.endedRuns[x.info.ID] = map[job.Task]uint64{}
+	}
+	ended := sim.endedRuns[x.info.ID]
+	ended[task] = max(ended[task], number)
+}
+
 var errSilent = errors.New("no answer in time")
 
 func (sim *simulation) heartbeat(o *owner, e schedule.SendHeartbeat) {
@@ -562,7 +630,7 @@
 	sent := sim.now
 	reply := func(delay time.Duration, report port.ExecutorReport, err error) {
 		sim.after(delay, func() {
-			sim.deliver(o, schedule.HeartbeatResult{Executor: e.Executor, Sent: sent, Now: sim.now, Report: report, Err: err})
+			sim.deliver(o, schedule.HeartbeatResult{Executor: e.Executor, FencingToken: e.Heartbeat.FencingToken, Sent: sent, Now: sim.now, Report: report, Err: err})
 		})
 	}
 	if x == nil || !x.up || x.silentUntil > sim.now || !sim.reaches(o, e.Executor) {
@@ -578,8 +646,8 @@
 		reply(time.Millisecond, port.ExecutorReport{}, port.ErrFenced)
 		return
 	}
-	x.fence = e.Heartbeat.FencingToken
-	x.expires = max(x.expires, e.Heartbeat.Expires)
+	sim.fence(x, e.Heartbeat.FencingToken)
+	x.extend(e.Heartbeat.Expires, sim.now)
 	sim.acknowledge(x, e.Heartbeat.Ack)
 	sim.answerHeartbeat(x, sim.now+e.Heartbeat.Wait, x.info.Born, func(report port.ExecutorReport, err error) {
 		if !sim.answers(o, e.Executor) {
@@ -638,7 +706,7 @@
 		return
 	}
 	x.up = false
-	sim.after(1500*time.Millisecond, func() { sim.addExecutor(id) })
+	sim.after(time.Duration(rapid.IntRange(100, 2500).Draw(sim.t, "down"))*time.Millisecond, func() { sim.addExecutor(id) })
 }
 
 // submit submits a job. The token of a submission is even, that of a cancellation odd.
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -25,6 +25,7 @@
 	moved              *immutable.Map[string, int64] // by path: version of a newer configuration that routes it to another pool
 	jobs               *immutable.Map[job.ID, *jobState]
 	executors          table.Table[executorState] // by ID
+	incarnations       uint64                     // number of incarnations of executors that this owner has called
 	ready              *immutable.SortedMap[rank, taskSetRef]
 	changed            *immutable.SortedMap[uint64, job.ID] // jobs with unstored changes, by generation
 	unreadable         *immutable.Map[job.ID, struct{}]     // jobs whose record in the store can't be decoded
--- a/internal/decision/schedule/summary.go
+++ b/internal/decision/schedule/summary.go
@@ -28,6 +28,7 @@
 	ID          string        `json:"id"`
 	Instance    string        `json:"instance"`
 	Rack        string        `json:"rack"`
+	Token       uint64        `json:"token"` // fencing token of the calls to its incarnation
 	Open        bool          `json:"open"`
 	Draining    bool          `json:"draining"`
 	Silent      time.Duration `json:"silent"` // time since its last answer, 0 while it answers
@@ -55,7 +56,7 @@
 	}
 	s.eachExecutor(func(e *executorState) {
 		x := ExecutorSummary{
-			ID: e.info.ID, Instance: e.info.Instance, Rack: e.info.Rack(), Open: e.open, Draining: e.info.Draining,
+			ID: e.info.ID, Token: e.fencingToken, Instance: e.info.Instance, Rack: e.info.Rack(), Open: e.open, Draining: e.info.Draining,
 			Quarantined: s.now < e.quarantinedUntil, Vacating: s.now < e.vacateUntil, Runs: len(e.runs), Used: e.allocated, Capacity: e.info.Capacity, Slowness: e.slowness,
 		}
 		if e.failingSince != 0 {
--- a/internal/decision/schedule/takeover_test.go
+++ b/internal/decision/schedule/takeover_test.go
@@ -30,7 +30,7 @@
 		Jobs: []schedule.StoredJob{{ID: sub.ID, Record: job.Record{Submission: &sub}}}, Listed: []site.Executor{executor("x"), executor("y")},
 	})
 	answer := func(id string, err error, runs ...port.ActiveRun) []schedule.Effect {
-		return p.step(schedule.HeartbeatResult{Executor: id, Sent: p.now, Now: p.now, Err: err, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Runs: runs}})
+		return p.step(schedule.HeartbeatResult{Executor: id, FencingToken: fencingToken(p.state, id), Sent: p.now, Now: p.now, Err: err, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Runs: runs}})
 	}
 	p.now += 10 * time.Millisecond
 	answer("y", nil)
@@ -121,7 +121,7 @@
 		Listed: []site.Executor{{ID: "x", Address: "x", Pool: pool, Capacity: job.Resources{CPU: 8000}}},
 	})
 	report := port.ExecutorReport{Clock: 1, Ended: []port.EndedRun{{Number: 1, Task: job.Task{Job: sub.ID}, Run: 1, Outcome: job.OutcomeDone}}}
-	for _, e := range p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: report}) {
+	for _, e := range p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Report: report}) {
 		if n, ok := e.(schedule.Note); ok {
 			c.Check(n.Event, qt.Not(qt.Equals), "run.repeated")
 		}
--- a/internal/decision/schedule/throttle.go
+++ b/internal/decision/schedule/throttle.go
@@ -55,7 +55,7 @@
 		if r.bestEffort && r.phase == running && r.speed != want && (want < r.speed || t.s.now-r.speedSentAt > throttleResendInterval) {
 			r.speed, r.speedSentAt = want, t.s.now
 			e = e.withRun(r)
-			t.emit(ThrottleRun{Executor: id, Throttle: port.Throttle{Task: r.task, Run: r.run, FencingToken: t.s.Epoch, Percent: want}})
+			t.emit(ThrottleRun{Executor: id, Throttle: port.Throttle{Task: r.task, Run: r.run, FencingToken: e.fencingToken, Percent: want}})
 		}
 	}
 	t.s = t.s.withExecutor(e)
--- a/internal/decision/schedule/throttle_test.go
+++ b/internal/decision/schedule/throttle_test.go
@@ -32,6 +32,16 @@
 	return p
 }
 
+// fencingToken returns the token of the calls to an executor.
+func fencingToken(s schedule.State, id string) uint64 {
+	for _, x := range s.Summary().Executors {
+		if x.ID == id {
+			return x.Token
+		}
+	}
+	return 0
+}
+
 // step processes a message and returns the effects.
 func (p *singleExecutor) step(m schedule.Message) []schedule.Effect {
 	var effects []schedule.Effect
@@ -61,7 +71,7 @@
 
 // heartbeat passes the answer to a heartbeat that lists the given runs.
 func (p *singleExecutor) heartbeat(runs ...port.ActiveRun) []schedule.Effect {
-	return p.step(schedule.HeartbeatResult{Executor: "x", Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Runs: runs}})
+	return p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Runs: runs}})
 }
 
 // Guards against best-effort tasks that keep their speed while a serving task on the same executor is over its latency
--- a/internal/decision/schedule/used_test.go
+++ b/internal/decision/schedule/used_test.go
@@ -45,7 +45,7 @@
 		}
 	}
 	answer := func(id string, err error) {
-		p.step(schedule.HeartbeatResult{Executor: id, Sent: p.now, Now: p.now, Err: err, Report: port.ExecutorReport{Clock: p.now.Milliseconds()}})
+		p.step(schedule.HeartbeatResult{Executor: id, FencingToken: fencingToken(p.state, id), Sent: p.now, Now: p.now, Err: err, Report: port.ExecutorReport{Clock: p.now.Milliseconds()}})
 	}
 	answer("x", nil)
 	answer("y", nil)
--- a/internal/decision/schedule/vacate.go
+++ b/internal/decision/schedule/vacate.go
@@ -95,5 +95,5 @@
 	}
 	task.Index = index
 	i := e.findRun(task, x.run)
-	return i >= 0 && e.runs[i].percent >= 100 && t.s.now-e.runs[i].since > minReadyTime
+	return i >= 0 && !e.runs[i].former && e.runs[i].percent >= 100 && t.s.now-e.runs[i].since > minReadyTime
 }
--- a/internal/decision/schedule/vacate_test.go
+++ b/internal/decision/schedule/vacate_test.go
@@ -30,7 +30,7 @@
 	})
 	heartbeat := func() {
 		for i, id := range []string{"x0", "x1"} {
-			s, _ = schedule.Step(s, schedule.HeartbeatResult{Executor: id, Sent: now, Now: now, Report: port.ExecutorReport{Clock: now.Milliseconds(), Runs: []port.ActiveRun{
+			s, _ = schedule.Step(s, schedule.HeartbeatResult{Executor: id, FencingToken: fencingToken(s, id), Sent: now, Now: now, Report: port.ExecutorReport{Clock: now.Milliseconds(), Runs: []port.ActiveRun{
 				{Task: job.Task{Job: sub.ID, Index: i}, Run: 1, Percent: 100},
 			}}})
 		}
--- a/internal/link/pool/executor_conn.go
+++ b/internal/link/pool/executor_conn.go
@@ -120,14 +120,16 @@
 	switch order := r.Call.Order.(type) {
 	case port.Heartbeat:
 		o.link.meters.heartbeat.Update((now - r.Call.Sent).Milliseconds())
-		o.enqueue(ctx, schedule.HeartbeatResult{Executor: r.Call.Executor.ID, Sent: r.Call.Sent, Now: now, Report: r.Report, Err: r.Err})
+		o.enqueue(ctx, schedule.HeartbeatResult{
+			Executor: r.Call.Executor.ID, FencingToken: order.FencingToken, Sent: r.Call.Sent, Now: now, Report: r.Report, Err: r.Err,
+		})
 		return
 	case port.Start:
-		result.Kind, result.Task, result.Run = schedule.OrderStart, order.Task, order.Run
+		result.Kind, result.Task, result.Run, result.FencingToken = schedule.OrderStart, order.Task, order.Run, order.FencingToken
 	case port.Stop:
-		result.Kind, result.Task, result.Run = schedule.OrderStop, order.Task, order.Run
+		result.Kind, result.Task, result.Run, result.FencingToken = schedule.OrderStop, order.Task, order.Run, order.FencingToken
 	case port.Throttle:
-		result.Kind, result.Task, result.Run = schedule.OrderThrottle, order.Task, order.Run
+		result.Kind, result.Task, result.Run, result.FencingToken = schedule.OrderThrottle, order.Task, order.Run, order.FencingToken
 	default:
 		panic("pool: unhandled order")
 	}
--- a/internal/link/pool/pool_owner.go
+++ b/internal/link/pool/pool_owner.go
@@ -245,7 +245,7 @@
 				o.enqueue(ctx, schedule.AdviceResult{Step: e.Step, Now: clock.SinceBoot(), Err: err})
 			}
 		case schedule.StepDown:
-			o.link.stepDown(o, "an executor has seen a higher fencing token", "executor", e.Executor)
+			o.link.stepDown(o, e.Reason.Error(), "executor", e.Executor)
 		case schedule.HandedOver:
 			o.closeHanded()
 		case schedule.Note:
