Start jobs of a queue only once its settings are known

Cause: the daemon that took the request had the configuration with the queue, the owner of the pool had not. The owner made up settings without advice and kept them in the job, so that executors refused each start for its missing ticket, also after the owner had read the configuration. A new owner without the queue had the same fault, and an open job did not follow a change of its queue's settings.

A job now keeps the version of the configuration by which its queue was chosen, in its record, too, and waits for that configuration if the owner lacks the queue. A new configuration updates the settings of all open jobs.

--- a/internal/decision/schedule/commit.go
+++ b/internal/decision/schedule/commit.go
@@ -101,7 +101,7 @@
 		return []port.Write{{Key: key, Value: job.Encode(r)}}, deletes
 	case !j.stored:
 		sub := j.sub
-		r := job.Record{Submission: &sub, Digest: j.digest, Queue: j.sub.Queue, Path: j.sub.Path, Accepted: j.accepted}
+		r := job.Record{Submission: &sub, Digest: j.digest, Queue: j.sub.Queue, Path: j.sub.Path, Accepted: j.accepted, Version: j.version}
 		return []port.Write{{Key: key, Value: job.Encode(r)}}, nil
 	default:
 		return []port.Write{{Key: progress, Value: job.Encode(j.progress())}}, nil
--- a/internal/decision/schedule/job.go
+++ b/internal/decision/schedule/job.go
@@ -63,6 +63,8 @@
 type jobState struct {
 	sub             job.Submission
 	queue           site.Queue
+	version         int64           // of the configuration by which the caller has chosen the queue
+	awaitsConfig    bool            // that configuration has not come yet, and the queue is not in the present one
 	accepted        int64           // Unix milliseconds
 	ended           int64           // Unix milliseconds
 	objective       time.Duration   // time at which the job should have ended
@@ -105,9 +107,20 @@
 	return 0, false
 }
 
+// withConfig returns a copy with the settings of its queue in a configuration. A job whose queue is not there keeps those
+// that it has.
+func (j jobState) withConfig(s State) jobState {
+	if q, ok := s.queue(j.sub.Queue); ok {
+		j.queue, j.awaitsConfig = q, false
+		return j
+	}
+	j.awaitsConfig = j.awaitsConfig && j.version > s.config.Version
+	return j
+}
+
 // schedulable reports whether tasks of the job may start.
 func (j jobState) schedulable() bool {
-	return j.stored && !j.outcome.Final() && !j.state.Final()
+	return j.stored && !j.awaitsConfig && !j.outcome.Final() && !j.state.Final()
 }
 
 // complete reports whether every task of every occurrence is done.
--- a/internal/decision/schedule/recover.go
+++ b/internal/decision/schedule/recover.go
@@ -146,7 +146,7 @@
 }
 
 func (t *transition) recoverJob(x StoredJob) {
-	j := t.s.newJob(*x.Record.Submission, x.Record.Digest, x.Record.Accepted, t.s.now)
+	j := t.s.newJob(*x.Record.Submission, x.Record.Version, x.Record.Digest, x.Record.Accepted, t.s.now)
 	j.objective -= time.Duration(t.s.unixMilli-x.Record.Accepted) * time.Millisecond
 	j.stored, j.recovered, j.progressWritten = true, true, true
 	if j.sub.Repeat > 0 {
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -134,7 +134,7 @@
 	for i := t.s.repeating.Iterator(); !i.Done(); {
 		id, next, _ := i.Next()
 		j, ok := t.s.job(id)
-		if !ok || !j.stored {
+		if !ok || !j.stored || j.awaitsConfig {
 			continue
 		}
 		for next < j.sub.Occurrences() && j.sub.Due(next) <= t.s.unixMilli {
@@ -173,6 +173,7 @@
 		return
 	}
 	t.s.config = c
+	t.updateQueues()
 	for i := t.s.moved.Iterator(); !i.Done(); {
 		if path, version, _ := i.Next(); version <= c.Version {
 			t.s.moved = t.s.moved.Delete(path)
@@ -180,6 +181,23 @@
 	}
 }
 
+// updateQueues gives the open jobs the present settings of their queues, and starts those that waited for them.
+func (t *transition) updateQueues() {
+	for i := t.s.jobs.Iterator(); !i.Done(); {
+		id, before, _ := i.Next()
+		after := before.withConfig(t.s)
+		if before.state.Final() || after.queue.Equal(before.queue) && after.awaitsConfig == before.awaitsConfig {
+			continue
+		}
+		after.objective += after.queue.Objective(after.sub) - before.queue.Objective(before.sub)
+		if before.awaitsConfig && !after.awaitsConfig {
+			t.emit(note(slog.LevelInfo, "job.configured", "job", string(id), "queue", after.sub.Queue, "version", t.s.config.Version))
+		}
+		t.s = t.s.withJob(after)
+		t.s = t.s.withAllRanks(id)
+	}
+}
+
 // queue returns a queue of the current configuration by name.
 func (s State) queue(name string) (site.Queue, bool) {
 	i := slices.IndexFunc(s.config.Queues, func(q site.Queue) bool { return q.Name == name })
@@ -218,7 +236,10 @@
 	if m.Since != 0 {
 		since = m.Since
 	}
-	j := t.s.newJob(m.Submission, m.Submission.Digest(), m.Unix, since)
+	j := t.s.newJob(m.Submission, m.Version, m.Submission.Digest(), m.Unix, since)
+	if j.awaitsConfig {
+		t.emit(note(slog.LevelInfo, "job.unconfigured", "job", string(m.Submission.ID), "queue", m.Submission.Queue, "version", m.Version, "inforce", t.s.config.Version))
+	}
 	j.submitTokens = []uint64{m.Token}
 	t.s = t.s.withChange(j)
 }
@@ -278,14 +299,15 @@
 
 // objectiveOf returns the time within which a job should end.
 func (s State) objectiveOf(sub job.Submission) time.Duration {
-	q := s.queueOf(sub)
-	return q.Target + time.Duration(min(q.Stretch*float64(sub.CriticalPath()), float64(job.MaxDuration)))
+	return s.queueOf(sub).Objective(sub)
 }
 
-// newJob returns the state of a job that has just been submitted.
-func (s State) newJob(sub job.Submission, digest uint64, unix int64, now time.Duration) jobState {
-	q := s.queueOf(sub)
-	j := jobState{sub: sub, queue: q, accepted: unix, digest: digest, criticalPaths: criticalPaths(sub)}
+// newJob returns the state of a job that has just been submitted. If this owner does not know its queue yet, no task starts
+// before the configuration by which the queue was chosen.
+func (s State) newJob(sub job.Submission, version int64, digest uint64, unix int64, now time.Duration) jobState {
+	j := jobState{
+		sub: sub, queue: s.queueOf(sub), version: version, awaitsConfig: true, accepted: unix, digest: digest, criticalPaths: criticalPaths(sub),
+	}.withConfig(s)
 	j.objective = now + s.objectiveOf(sub)
 	if sub.Repeat == 0 {
 		j = j.withOccurrence(0, now)
--- a/internal/model/job/record.go
+++ b/internal/model/job/record.go
@@ -25,6 +25,7 @@
 	Path       string      `cbor:"path,omitempty"`
 	Accepted   int64       `cbor:"accepted,omitempty"` // Unix milliseconds
 	Ended      int64       `cbor:"ended,omitempty"`    // Unix milliseconds
+	Version    int64       `cbor:"version,omitempty"`  // of the configuration by which its queue was chosen
 }
 
 // Validate returns an error unless the record can belong to the job with the given ID.
--- a/internal/model/site/site.go
+++ b/internal/model/site/site.go
@@ -24,6 +24,19 @@
 // Path returns the host and the path prefix, which identify the route whatever its name and pool are.
 func (q Queue) Path() string { return q.Host + q.Prefix }
 
+// Objective returns the time within which a job of the queue should end.
+func (q Queue) Objective(sub job.Submission) time.Duration {
+	return q.Target + time.Duration(min(q.Stretch*float64(sub.CriticalPath()), float64(job.MaxDuration)))
+}
+
+// Equal reports whether two queues have the same settings.
+func (q Queue) Equal(other Queue) bool {
+	if q.Advice != nil && other.Advice != nil && *q.Advice == *other.Advice {
+		other.Advice = q.Advice
+	}
+	return q == other
+}
+
 // Advice describes the service that selects the executors allowed to run a step.
 type Advice struct {
 	Base     time.Duration // duration of a call
