Take the longest lease for that of a restarted executor

Cause: an order for the former incarnation asks for a lease until a time on the former clock. The restarted executor, whose clock starts anew, shortens it to its longest lease (6 s there), while the owner counted its own 5 s from its last extension. Besides, an owner that another one has replaced extended the lease of a restarted executor, which has seen no token of the next one.

The lease counts as the longest one at the first answer of a restarted executor, and is extended only after a write that was sent after that answer. A new owner waits as long for a silent executor that has restarted. The wait is longer only for executors that fall silent within about a second of their first answer.

--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -71,7 +71,8 @@
 //
 // Calls for the former incarnation may still reach the new one, which has the same ID and has seen no fencing token. Its
 // calls therefore get a higher one: the first of them that is answered keeps all earlier calls from having an effect, and
-// its answer lists what they have started. Until then the runs of the former incarnation count as present.
+// its answer lists what they have started. Until then the runs of the former incarnation count as present. Their lease is
+// not known either, because the expiry in such a call is a time on the former clock.
 func (t *transition) newIncarnation(e executorState, x site.Executor) executorState {
 	t.emit(Connect{Executor: x}, note(slog.LevelInfo, "executor.reborn", "executor", x.ID, "born", x.Born, "before", e.born, "runs", len(e.runs)))
 	t.s.usedChanged = true
@@ -85,7 +86,7 @@
 		run.former, run.stopConfirmed = true, false
 		restarted.runs = append(restarted.runs, &run)
 	}
-	return restarted.withClock(0, t.s.now, t.s.policy.Lease)
+	return restarted.withClock(0, t.s.now, t.s.policy.MaxLease)
 }
 
 // withClock returns a copy with a reading of the executor's clock, after which no lease lasts longer than the given time.
@@ -179,7 +180,9 @@
 	if e.failingSince == 0 && e.open {
 		h.Ack = e.ackedEnd // a silent executor may have restarted, and the new incarnation reuses the numbers
 	}
-	if e.open && e.failingSince == 0 && t.s.now+delay <= t.s.validUntil() && !t.s.isReleased(e.info.ID) {
+	// The next owner waits a limited time for an executor that has restarted and does not answer it.
+	confirmed := !e.formerCalls || t.s.confirmedAt > e.openedAt
+	if e.open && confirmed && e.failingSince == 0 && t.s.now+delay <= t.s.validUntil() && !t.s.isReleased(e.info.ID) {
 		h.Expires = e.localTime(t.s.now+delay) + t.s.policy.Lease.Milliseconds()
 		e.leaseExpires = max(e.leaseExpires, h.Expires)
 	}
@@ -232,7 +235,7 @@
 	if e.born != 0 && report.Born != 0 && report.Born != e.born {
 		info := e.info
 		info.Born = report.Born
-		e = t.newIncarnation(e, info).withClock(report.Clock, m.Now, t.s.policy.Lease)
+		e = t.newIncarnation(e, info).withClock(report.Clock, m.Now, t.s.policy.MaxLease)
 		t.sendHeartbeat(e, 0, 0, false)
 		return
 	}
@@ -246,8 +249,13 @@
 	e.failingSince, e.clock, e.clockReadAt, e.acceptedAt, e.partial = 0, report.Clock, m.Now, m.Sent, report.IsPartial()
 	if !e.open {
 		e.open, e.openedAt = true, m.Now
-		// The former owner may have extended the lease until just before.
-		e.leaseExpires = max(e.leaseExpires, report.Clock+(t.s.policy.Lease+leaseMargin).Milliseconds())
+		// The former owner may have extended the lease until just before. A call for an earlier incarnation may have done so
+		// by a time on another clock.
+		lease := t.s.policy.Lease
+		if e.formerCalls {
+			lease = t.s.policy.MaxLease
+		}
+		e.leaseExpires = max(e.leaseExpires, report.Clock+(lease+leaseMargin).Milliseconds())
 		t.s.lastOpenedAt, t.s.usedChanged = m.Now, true
 		t.s = t.s.withFormerAnswer(e.info.ID)
 		t.emit(note(slog.LevelInfo, "executor.open", "executor", e.info.ID, "active", len(report.Runs), "ends", len(report.Ended)))
@@ -288,7 +296,7 @@
 		return
 	}
 	wait := t.s.heartbeatWait()
-	if e.openedAt == t.s.now && !t.s.owns() || t.s.isReleased(id) && !t.s.commitOverdue {
+	if e.openedAt == t.s.now && (e.formerCalls || !t.s.owns()) || t.s.isReleased(id) && !t.s.commitOverdue {
 		wait = min(wait, takeoverHeartbeatWait)
 	}
 	t.sendHeartbeat(e, wait, 0, false)
--- a/internal/decision/schedule/policy.go
+++ b/internal/decision/schedule/policy.go
@@ -9,6 +9,7 @@
 // Policy holds the durations that govern leases, orders, commits and retries.
 type Policy struct {
 	Lease             time.Duration // lease of the runs that a heartbeat requests; at most the executor's own limit
+	MaxLease          time.Duration // longest lease that executors accept
 	StartExpiry       time.Duration // time after which a start order that has not arrived has no effect
 	HeartbeatWait     time.Duration // minimum of heartbeatWait; bounds how soon a silent executor is detected
 	HeartbeatInterval time.Duration // delay of the next heartbeat while reported ended runs are not stored yet
@@ -46,6 +47,7 @@
 func DefaultPolicy(maxLease time.Duration) Policy {
 	return Policy{
 		Lease:             min(maxLease, 5*time.Second), // longer than a takeover, which takes about 3 s
+		MaxLease:          maxLease,
 		StartExpiry:       2500 * time.Millisecond,
 		HeartbeatWait:     700 * time.Millisecond,
 		HeartbeatInterval: 150 * time.Millisecond,
--- a/internal/decision/schedule/restarted_test.go
+++ b/internal/decision/schedule/restarted_test.go
@@ -201,3 +201,53 @@
 		c.Assert(p.cycles(100*time.Millisecond), qt.HasLen, 0, qt.Commentf("run 1 is on x"))
 	}
 }
+
+// Guards against tasks that are started again while their runs go on, because the lease of a restarted executor outlasts
+// what its owner has extended: a call for the former incarnation asks for a time on the former clock, which the executor
+// shortens to its longest lease.
+func TestLeaseOfRestartedExecutorIsTheLongest(t *testing.T) {
+	c := qt.New(t)
+	p, first := newRestarting(c)
+	token := p.restart(c)
+	p.report(token, port.ExecutorReport{Clock: 500, Born: 200, Runs: []port.ActiveRun{{Task: first.Task, Run: first.Run, Percent: 50}}})
+	listed := p.now
+	silence := func(length time.Duration) (starts []schedule.StartRun) {
+		for until := p.now + length; p.now < until; {
+			p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Err: errors.New("no answer")})
+			p.step(schedule.HeartbeatResult{Executor: "y", FencingToken: fencingToken(p.state, "y"), Sent: p.now, Now: p.now, Report: port.ExecutorReport{Clock: p.now.Milliseconds(), Born: 100}})
+			starts = append(starts, p.cycles(100*time.Millisecond)...)
+		}
+		return starts
+	}
+	const longest = 6 * time.Second // the policy's, at a clock that may run 2% slow
+	c.Assert(silence(longest*100/98-(p.now-listed)), qt.HasLen, 0)
+	c.Assert(silence(time.Second), qt.HasLen, 1)
+}
+
+// Guards against an owner that another one has replaced, and that keeps runs on a restarted executor alive for longer than
+// the next owner waits for it. A former owner knows of no other only after a write that follows the executor's answer.
+func TestLeaseOfRestartedExecutorNeedsConfirmation(t *testing.T) {
+	c := qt.New(t)
+	p, first := newRestarting(c)
+	token := p.restart(c)
+	expiries := func() (n int) {
+		for _, e := range p.effects {
+			if h, ok := e.(schedule.SendHeartbeat); ok && h.Executor == "x" && h.Heartbeat.Expires != 0 {
+				n++
+			}
+		}
+		p.effects = nil
+		return n
+	}
+	report := func() {
+		p.now += 10 * time.Millisecond
+		p.report(token, port.ExecutorReport{Clock: 500, Born: 200, Runs: []port.ActiveRun{{Task: first.Task, Run: first.Run, Percent: 50}}})
+	}
+	expiries()
+	report()
+	report()
+	c.Assert(expiries(), qt.Equals, 0)
+	p.cycles(50 * time.Millisecond)
+	report()
+	c.Assert(expiries(), qt.Equals, 1)
+}
