Don't use tickets for a former incarnation of an executor

A ticket is valid during one life of its executor, but was kept under the ID: after a restart each waiting step was sent once with a ticket that the executor rejects, which delays it and is charged as a rejected start.

A ticket is now used only if it was asked for after this owner has first called the present incarnation.

Red before, on: TestTicketsEndWithIncarnation (a start with the former ticket).

--- a/internal/decision/schedule/advice.go
+++ b/internal/decision/schedule/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,7 +24,9 @@
 	}
 	a := j.advice[index]
 	if t.s.now < a.validUntil-ticketMargin {
-		return a.tickets, true
+		if byExecutor = t.s.presentTickets(a); len(byExecutor) > 0 {
+			return byExecutor, true
+		}
 	}
 	if a.requestedAt == 0 || t.s.now-a.requestedAt > adviceRetryInterval {
 		t.requestAdvice(j, index, candidates)
@@ -32,6 +35,22 @@
 	return nil, false
 }
 
+// presentTickets returns the tickets for the present incarnations of their executors.
+func (s State) presentTickets(a advice) map[string]string {
+	isFormer := func(id, _ string) bool {
+		e, ok := s.executors.Get(id)
+		return ok && e.calledSince > a.askedAt
+	}
+	for id, ticket := range a.tickets {
+		if isFormer(id, ticket) {
+			present := maps.Clone(a.tickets)
+			maps.DeleteFunc(present, isFormer)
+			return present
+		}
+	}
+	return a.tickets
+}
+
 func (t *transition) requestAdvice(j jobState, index int, candidates []candidate) {
 	ts := j.taskSets[index]
 	var ids []string
@@ -46,7 +65,9 @@
 	offset := int(t.s.now.Milliseconds()) % len(ids) // later requests include other executors
 	ids = slices.Concat(ids[offset:], ids[:offset])
 	ids = ids[:min(len(ids), maxAdviceExecutors)]
-	j = j.withAdvice(index, advice{requestedAt: t.s.now, validUntil: j.advice[index].validUntil, tickets: j.advice[index].tickets})
+	j = j.withAdvice(index, advice{
+		requestedAt: t.s.now, askedAt: j.advice[index].askedAt, validUntil: j.advice[index].validUntil, tickets: j.advice[index].tickets,
+	})
 	t.s = t.s.withJob(j)
 	t.emit(Advise{Step: job.Task{Job: j.sub.ID, Occurrence: ts.occurrence, Step: ts.step}, Executors: ids})
 }
@@ -75,7 +96,7 @@
 	for _, g := range m.Grants {
 		byExecutor[g.Executor] = g.Ticket
 	}
-	a := advice{requestedAt: m.Now, validUntil: m.Now + m.ValidFor, tickets: byExecutor}
+	a := advice{requestedAt: m.Now, askedAt: j.advice[index].requestedAt, validUntil: m.Now + m.ValidFor, tickets: byExecutor}
 	if len(byExecutor) == 0 {
 		a.validUntil = 0 // no named executor may run it, so the next request includes others
 	}
--- a/internal/decision/schedule/advice_test.go
+++ b/internal/decision/schedule/advice_test.go
@@ -66,3 +66,39 @@
 	c.Assert(starts, qt.HasLen, 0, qt.Commentf("the ticket may expire before it arrives"))
 	c.Assert(requested, qt.HasLen, 1)
 }
+
+// Guards against starts with a ticket for a former incarnation of the executor, which the present one rejects.
+func TestTicketsEndWithIncarnation(t *testing.T) {
+	c := qt.New(t)
+	sub := job.Submission{ID: "0000000000000001", Queue: "new", Spec: "s", Steps: []job.Step{{Count: 2, Need: job.Resources{CPU: 6000}, Estimate: time.Second}}}
+	p := newSingleExecutor(version2, sub)
+	report := func(r port.ExecutorReport) {
+		p.now += 10 * time.Millisecond
+		r.Clock, r.Born = p.now.Milliseconds(), max(r.Born, 100)
+		p.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(p.state, "x"), Sent: p.now, Now: p.now, Report: r})
+	}
+	report(port.ExecutorReport{})
+	starts := p.advised()
+	c.Assert(starts, qt.HasLen, 1, qt.Commentf("the executor has room for one task"))
+	report(port.ExecutorReport{Born: 200})
+	report(port.ExecutorReport{Born: 200})
+	asked, started := 0, 0
+	for range 10 {
+		p.now += 20 * time.Millisecond
+		effects := append(p.step(schedule.Tick{Now: p.now, Unix: 2000}), p.step(schedule.RunCycle{Now: p.now})...)
+		for _, x := range commits(effects) {
+			effects = append(effects, p.step(schedule.CommitResult{Now: p.now, Number: x.Number})...)
+		}
+		for _, e := range effects {
+			if _, ok := e.(schedule.Advise); ok {
+				asked++
+			}
+			if _, ok := e.(schedule.StartRun); ok {
+				started++
+			}
+		}
+	}
+	c.Assert(started, qt.Equals, 0)
+	c.Assert(asked, qt.Equals, 1)
+	c.Assert(p.advised(), qt.HasLen, 1)
+}
--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -38,6 +38,7 @@
 	replaced          bool          // its instance runs a later executor
 	born              int64         // start of the incarnation in Unix milliseconds; 0 if unknown
 	fencingToken      uint64        // of all calls to this incarnation
+	calledSince       time.Duration // when this owner has first called this incarnation
 	formerCalls       bool          // calls for an earlier incarnation may have reached this one before its first answer
 	open              bool          // has answered a heartbeat with this owner's fencing token
 	openedAt          time.Duration // first such answer
--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -38,7 +38,7 @@
 
 func (t *transition) addExecutor(x site.Executor) {
 	t.emit(Connect{Executor: x}, note(slog.LevelInfo, "executor.listed", "executor", x.ID, "pool", x.Pool, "instance", x.Instance))
-	t.sendHeartbeat(executorState{info: x, listed: true, born: x.Born, fencingToken: t.nextFencingToken(x.ID), formerCalls: true}, 0, 0, false)
+	t.sendHeartbeat(executorState{info: x, listed: true, born: x.Born, fencingToken: t.nextFencingToken(x.ID), calledSince: t.s.now, formerCalls: true}, 0, 0, false)
 }
 
 func (t *transition) updateExecutor(e executorState, x site.Executor) {
@@ -78,7 +78,7 @@
 	t.s.usedChanged = true
 	t.awaitFormerCalls(x.ID)
 	restarted := executorState{
-		info: x, listed: e.listed, born: x.Born, fencingToken: t.nextFencingToken(x.ID), formerCalls: true,
+		info: x, listed: e.listed, born: x.Born, fencingToken: t.nextFencingToken(x.ID), calledSince: t.s.now, formerCalls: true,
 		runs: make([]*runState, 0, len(e.runs)), allocated: e.allocated, strays: e.strays, vacateUntil: e.vacateUntil, vacatingSince: e.vacatingSince,
 	}
 	for _, r := range e.runs {
@@ -124,7 +124,7 @@
 		t.s.vanished = append(slices.Clip(t.s.vanished), vanishedRun{task: r.task, run: r.run, at: t.s.now})
 	}
 	t.s.usedChanged = true
-	return executorState{info: e.info, listed: e.listed, born: e.born, fencingToken: e.fencingToken, heartbeatInFlight: e.heartbeatInFlight}
+	return executorState{info: e.info, listed: e.listed, born: e.born, fencingToken: e.fencingToken, calledSince: e.calledSince, heartbeatInFlight: e.heartbeatInFlight}
 }
 
 // handleExecutorsReplaced ends the wait for silent executors whose instances run a later one. As after a restart, their
--- a/internal/decision/schedule/job.go
+++ b/internal/decision/schedule/job.go
@@ -86,7 +86,8 @@
 
 // advice holds the tickets for a task set.
 type advice struct {
-	requestedAt time.Duration
+	requestedAt time.Duration // when it was last asked for, or came
+	askedAt     time.Duration // when the tickets were asked for
 	validUntil  time.Duration
 	tickets     map[string]string // by executor
 }
