Tell the next owner of the leases on a restarted executor

Cause: a call for the former incarnation had got the longest lease (10 s there) at about 5.7 s. The former owner counted with it, but its record of the used executors names the present incarnation only, so that the next owner waited for a whole lease of 5 s from its takeover.

The record now has the time that is left of such leases, and the next owner waits for it while the executor does not answer. Once they have ended, the record is stored without it. An executor that has left the list and returns within the time in which calls may be carried out late counts as restarted; a new one does not, which spares a write for each move.

Red before: TestRecordTellsOfFormerLeases (a part that did not exist).

--- a/internal/decision/schedule/executor.go
+++ b/internal/decision/schedule/executor.go
@@ -39,7 +39,8 @@
 	born              int64         // start of the incarnation in Unix milliseconds; 0 if unknown
 	fencingToken      uint64        // of all calls to this incarnation
 	calledSince       time.Duration // when this owner has first called this incarnation
-	formerCalls       bool          // calls for an earlier incarnation may have reached this one before its first answer
+	restarted         bool          // calls for an earlier incarnation may have reached this one before its first answer
+	formerLeases      time.Duration // when the leases that such calls have asked for have ended; 0 if there are none
 	open              bool          // has answered a heartbeat with this owner's fencing token
 	openedAt          time.Duration // first such answer
 	acceptedAt        time.Duration // when the last heartbeat that it has answered was sent
@@ -106,13 +107,13 @@
 }
 
 // leaseEnd returns the time by which the executor must have ended all its runs because their lease has expired, unless
-// another owner has extended it. It returns false if the executor has never answered.
+// another owner has extended it. It returns false if the executor has never answered and has not restarted.
 func (e executorState) leaseEnd() (time.Duration, bool) {
 	if e.clockReadAt == 0 {
-		return 0, false
+		return e.formerLeases, e.formerLeases != 0
 	}
 	left := time.Duration(float64(e.leaseExpires-e.clock) / minClockRate * float64(time.Millisecond))
-	return e.clockReadAt + left + leaseMargin, true
+	return max(e.clockReadAt+left+leaseMargin, e.formerLeases), true
 }
 
 // awaitsLapse reports whether the executor is silent with runs whose lease has expired.
--- a/internal/decision/schedule/heartbeat.go
+++ b/internal/decision/schedule/heartbeat.go
@@ -38,7 +38,12 @@
 
 func (t *transition) addExecutor(x site.Executor) {
 	t.emit(Connect{Executor: x}, note(slog.LevelInfo, "executor.listed", "executor", x.ID, "pool", x.Pool, "instance", x.Instance))
-	t.sendHeartbeat(executorState{info: x, listed: true, born: x.Born, fencingToken: t.nextFencingToken(x.ID), calledSince: t.s.now, formerCalls: true}, 0, 0, false)
+	e := executorState{info: x, listed: true, born: x.Born, fencingToken: t.nextFencingToken(x.ID), calledSince: t.s.now}
+	if _, ok := t.s.departed.Get(x.ID); ok {
+		e.restarted, e.formerLeases = true, t.s.now+t.s.policy.waitForFormerCalls()
+		t.s.departed = t.s.departed.Delete(x.ID)
+	}
+	t.sendHeartbeat(e, 0, 0, false)
 }
 
 func (t *transition) updateExecutor(e executorState, x site.Executor) {
@@ -71,14 +76,15 @@
 //
 // Calls for the former incarnation may still reach the new one, which has the same ID and has seen no fencing token. Its
 // calls therefore get a higher one: the first of them that is answered keeps all earlier calls from having an effect, and
-// its answer lists what they have started. Until then the runs of the former incarnation count as present. Their lease is
-// not known either, because the expiry in such a call is a time on the former clock.
+// its answer lists what they have started. Until then the runs of the former incarnation count as present. The expiry in
+// such a call is a time on the former clock, which is far ahead, so that the executor shortens it to its longest lease.
 func (t *transition) newIncarnation(e executorState, x site.Executor) executorState {
 	t.emit(Connect{Executor: x}, note(slog.LevelInfo, "executor.reborn", "executor", x.ID, "born", x.Born, "before", e.born, "runs", len(e.runs)))
 	t.s.usedChanged = true
-	t.awaitFormerCalls(x.ID)
+	t.settleAfterCommit(x.ID)
 	restarted := executorState{
-		info: x, listed: e.listed, born: x.Born, fencingToken: t.nextFencingToken(x.ID), calledSince: t.s.now, formerCalls: true,
+		info: x, listed: e.listed, born: x.Born, fencingToken: t.nextFencingToken(x.ID), calledSince: t.s.now,
+		restarted: true, formerLeases: t.s.now + t.s.policy.waitForFormerCalls(),
 		runs: make([]*runState, 0, len(e.runs)), allocated: e.allocated, strays: e.strays, vacateUntil: e.vacateUntil, vacatingSince: e.vacatingSince,
 	}
 	for _, r := range e.runs {
@@ -86,13 +92,7 @@
 		run.former, run.stopConfirmed = true, false
 		restarted.runs = append(restarted.runs, &run)
 	}
-	return restarted.withClock(0, t.s.now, t.s.policy.MaxLease)
-}
-
-// withClock returns a copy with a reading of the executor's clock, after which no lease lasts longer than the given time.
-func (e executorState) withClock(clock int64, at, lease time.Duration) executorState {
-	e.clock, e.clockReadAt, e.leaseExpires = clock, at, clock+(lease+leaseMargin).Milliseconds()
-	return e
+	return restarted
 }
 
 // A fencing token consists of the epoch and the number of the incarnation among those that this owner has called. It is
@@ -144,18 +144,8 @@
 	}
 }
 
-// awaitFormerCalls makes this owner wait for the answer of an executor that has restarted since a former owner used it. The
-// runs of the former incarnation have ended, but calls for it may have started some on the present one.
-func (t *transition) awaitFormerCalls(id string) {
-	if !t.s.isUnsettled(id) {
-		return
-	}
-	t.s.unsettled = maps.Clone(t.s.unsettled)
-	t.s.unsettled[id] = t.s.now + t.s.policy.waitForFormerCalls()
-}
-
-// settleAfterCommit ends the wait for an executor that runs nothing any more once a commit has confirmed that no other owner
-// has noted the ends of its runs.
+// settleAfterCommit ends the wait for an executor whose former incarnation has ended once a commit has confirmed that no
+// other owner has noted the ends of its runs. The present incarnation has to answer before, see settlesAt.
 func (t *transition) settleAfterCommit(id string) {
 	if !t.s.isUnsettled(id) {
 		return
@@ -181,7 +171,7 @@
 		h.Ack = e.ackedEnd // a silent executor may have restarted, and the new incarnation reuses the numbers
 	}
 	// The next owner waits a limited time for an executor that has restarted and does not answer it.
-	confirmed := !e.formerCalls || t.s.confirmedAt > e.openedAt
+	confirmed := !e.restarted || t.s.confirmedAt > e.openedAt
 	if e.open && confirmed && e.failingSince == 0 && t.s.now+delay <= t.s.validUntil() && !t.s.isReleased(e.info.ID) {
 		h.Expires = e.localTime(t.s.now+delay) + t.s.policy.Lease.Milliseconds()
 		e.leaseExpires = max(e.leaseExpires, h.Expires)
@@ -235,7 +225,7 @@
 	if e.born != 0 && report.Born != 0 && report.Born != e.born {
 		info := e.info
 		info.Born = report.Born
-		e = t.newIncarnation(e, info).withClock(report.Clock, m.Now, t.s.policy.MaxLease)
+		e = t.newIncarnation(e, info)
 		t.sendHeartbeat(e, 0, 0, false)
 		return
 	}
@@ -249,13 +239,11 @@
 	e.failingSince, e.clock, e.clockReadAt, e.acceptedAt, e.partial = 0, report.Clock, m.Now, m.Sent, report.IsPartial()
 	if !e.open {
 		e.open, e.openedAt = true, m.Now
-		// The former owner may have extended the lease until just before. A call for an earlier incarnation may have done so
-		// by a time on another clock.
-		lease := t.s.policy.Lease
-		if e.formerCalls {
-			lease = t.s.policy.MaxLease
+		// The former owner may have extended the lease until just before.
+		e.leaseExpires = max(e.leaseExpires, report.Clock+(t.s.policy.Lease+leaseMargin).Milliseconds())
+		if e.restarted {
+			e.formerLeases = m.Now + t.s.policy.longestLease()
 		}
-		e.leaseExpires = max(e.leaseExpires, report.Clock+(lease+leaseMargin).Milliseconds())
 		t.s.lastOpenedAt, t.s.usedChanged = m.Now, true
 		t.s = t.s.withFormerAnswer(e.info.ID)
 		t.emit(note(slog.LevelInfo, "executor.open", "executor", e.info.ID, "active", len(report.Runs), "ends", len(report.Ended)))
@@ -270,11 +258,7 @@
 	t.reconcile(e.info.ID, m)
 	t.adjustThrottle(e.info.ID)
 	t.planNextHeartbeat(e.info.ID, generationBefore)
-	switch {
-	case !t.s.isUnsettled(e.info.ID) || t.s.now >= t.s.settlesAt(e.info.ID) || report.IsPartial():
-	case e.formerCalls: // another owner may have noted the ends of an earlier incarnation
-		t.settleAfterCommit(e.info.ID)
-	default:
+	if t.s.isUnsettled(e.info.ID) && t.s.now < t.s.settlesAt(e.info.ID) && !report.IsPartial() {
 		t.settle(func(id string) bool { return id != e.info.ID })
 	}
 }
@@ -296,7 +280,7 @@
 		return
 	}
 	wait := t.s.heartbeatWait()
-	if e.openedAt == t.s.now && (e.formerCalls || !t.s.owns()) || t.s.isReleased(id) && !t.s.commitOverdue {
+	if e.openedAt == t.s.now && (e.restarted || !t.s.owns()) || t.s.isReleased(id) && !t.s.commitOverdue {
 		wait = min(wait, takeoverHeartbeatWait)
 	}
 	t.sendHeartbeat(e, wait, 0, false)
--- a/internal/decision/schedule/ownership.go
+++ b/internal/decision/schedule/ownership.go
@@ -58,10 +58,15 @@
 	return time.Duration(float64(p.Lease)/minClockRate) + 2*leaseMargin
 }
 
+// longestLease returns the time after which a lease has ended that an executor has shortened to its longest one.
+func (p Policy) longestLease() time.Duration {
+	return time.Duration(float64(p.MaxLease)/minClockRate) + leaseMargin
+}
+
 // waitForFormerCalls returns the time after which an executor that has restarted, and does not answer, has no runs left that
 // calls for its former incarnation have started. The former owner makes such calls until it notices the restart.
 func (p Policy) waitForFormerCalls() time.Duration {
-	return confirmationAge + time.Duration(float64(p.MaxLease)/minClockRate) + 2*leaseMargin
+	return confirmationAge + p.longestLease() + leaseMargin
 }
 
 // waitForFormer returns the time after which a former owner without a quorum has no runs left.
--- a/internal/decision/schedule/recover.go
+++ b/internal/decision/schedule/recover.go
@@ -57,7 +57,7 @@
 	for _, u := range stored.Used.Executors {
 		t.s.unsettled[u.ID] = t.s.lapseTime(u.Lapse)
 		if u.Born != 0 && born[u.ID] > u.Born {
-			t.awaitFormerCalls(u.ID)
+			t.s.unsettled[u.ID] = t.s.now // the runs of the former incarnation have ended
 		}
 	}
 	if stored.isPartial() {
@@ -89,26 +89,27 @@
 	t.addDueOccurrences()
 	t.handleExecutorsListed(executors)
 	t.handleExecutorsListed(stored.Listed) // the others remain until they have no runs
-	t.clearFormerCalls(stored.Used)
+	t.inheritFormerLeases(stored.Used)
 	if len(t.s.unsettled) == 0 {
 		t.settle(nil)
 	}
 	return t.s, t.effects
 }
 
-// clearFormerCalls marks the executors that have not restarted since the former owner wrote the record.
-func (t *transition) clearFormerCalls(used cluster.Used) {
-	born := map[string]int64{}
+// inheritFormerLeases marks the executors that have restarted since the former owner has written the record, or that had
+// done so shortly before.
+func (t *transition) inheritFormerLeases(used cluster.Used) {
 	for _, u := range used.Executors {
-		born[u.ID] = u.Born
-	}
-	t.s.eachExecutor(func(x *executorState) {
-		if b, ok := born[x.info.ID]; ok && b == x.born || used.Epoch == 0 {
-			e := *x
-			e.formerCalls = false
-			t.s = t.s.withExecutor(e)
+		e, ok := t.s.executor(u.ID)
+		if !ok {
+			continue
 		}
-	})
+		e.formerLeases = t.s.lapseTime(u.Lease)
+		if u.Born != 0 && e.born > u.Born {
+			e.restarted, e.formerLeases = true, t.s.now+t.s.policy.waitForFormerCalls()
+		}
+		t.s = t.s.withExecutor(e)
+	}
 }
 
 // lapseTime returns the time by which runs have ended according to a record that was written before now, or 0 if the
--- a/internal/decision/schedule/restarted_test.go
+++ b/internal/decision/schedule/restarted_test.go
@@ -251,3 +251,55 @@
 	report()
 	c.Assert(expiries(), qt.Equals, 1)
 }
+
+// Guards against a next owner that waits for a whole lease only, although an executor of the former one has restarted shortly
+// before and has got a longer one by a call for its former incarnation; and against one that waits so for ever after.
+func TestRecordTellsOfFormerLeases(t *testing.T) {
+	c := qt.New(t)
+	p, first := newRestarting(c)
+	var record cluster.Used
+	store := func(length time.Duration) {
+		for until := p.now + length; p.now < until; p.now += 20 * time.Millisecond {
+			p.answer(200, port.ActiveRun{Task: first.Task, Run: first.Run, Percent: 50})
+			p.step(schedule.Tick{Now: p.now, Unix: 1000})
+			p.step(schedule.RunCycle{Now: p.now})
+			for _, x := range commits(p.effects) {
+				for _, w := range x.Writes {
+					if w.Key == cluster.PrefixUsed+pool {
+						var err error
+						record, err = job.Decode[cluster.Used](w.Value)
+						c.Assert(err, qt.IsNil)
+					}
+				}
+				p.effects = nil
+				p.step(schedule.CommitResult{Now: p.now, Number: x.Number})
+			}
+			p.effects = nil
+		}
+	}
+	store(200 * time.Millisecond)
+	sub := longRunningJob(job.Step{Count: 1})
+	takeOver := func() (waited time.Duration) {
+		next := &singleExecutor{now: p.now}
+		next.state = schedule.New(pool, 3, schedule.DefaultPolicy(6*time.Second), next.now, 1000).WithConfirmation(next.now)
+		listed := p.x
+		listed.Born = 200
+		next.state, _ = schedule.Recover(next.state, oneQueue, schedule.Stored{
+			Jobs: []schedule.StoredJob{{ID: sub.ID, Record: job.Record{Submission: &sub}}}, Used: record, FormerExited: true,
+			Listed: []site.Executor{listed, {ID: "y", Address: "y", Pool: pool, Born: 100, Capacity: job.Resources{CPU: 8000}}},
+		})
+		for starts := 0; starts == 0 && next.now < p.now+20*time.Second; {
+			next.now += 50 * time.Millisecond
+			next.step(schedule.HeartbeatResult{Executor: "x", FencingToken: fencingToken(next.state, "x"), Sent: next.now, Now: next.now, Err: errors.New("no answer")})
+			next.step(schedule.HeartbeatResult{Executor: "y", FencingToken: fencingToken(next.state, "y"), Sent: next.now, Now: next.now, Report: port.ExecutorReport{Clock: next.now.Milliseconds(), Born: 100}})
+			starts = len(next.cycle(nil))
+		}
+		return next.now - p.now
+	}
+	const longest, whole = 6 * time.Second * 100 / 98, 5 * time.Second * 100 / 98 // leases at a clock that runs 2% slow
+	waited := takeOver()
+	c.Check(waited > longest-200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", waited))
+	store(10 * time.Second)
+	waited = takeOver()
+	c.Check(waited > whole && waited < longest-200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", waited))
+}
--- a/internal/decision/schedule/state.go
+++ b/internal/decision/schedule/state.go
@@ -24,8 +24,9 @@
 	config             *site.Config
 	moved              *immutable.Map[string, int64] // by path: version of a newer configuration that routes it to another pool
 	jobs               *immutable.Map[job.ID, *jobState]
-	executors          table.Table[executorState] // by ID
-	incarnations       uint64                     // number of incarnations of executors that this owner has called
+	executors          table.Table[executorState]            // by ID
+	incarnations       uint64                                // number of incarnations of executors that this owner has called
+	departed           *immutable.Map[string, time.Duration] // executors that this owner has called and no longer knows, by when it forgot them
 	ready              *immutable.SortedMap[rank, taskSetRef]
 	changed            *immutable.SortedMap[uint64, job.ID] // jobs with unstored changes, by generation
 	unreadable         *immutable.Map[job.ID, struct{}]     // jobs whose record in the store can't be decoded
@@ -130,7 +131,7 @@
 		ready:     immutable.NewSortedMap[rank, taskSetRef](rankOrder{}),
 		changed:   immutable.NewSortedMap[uint64, job.ID](nil),
 		repeating: immutable.NewMap[job.ID, int](idHasher{}), unreadable: immutable.NewMap[job.ID, struct{}](idHasher{}),
-		ended:     immutable.NewMap[job.ID, struct{}](idHasher{}),
+		ended: immutable.NewMap[job.ID, struct{}](idHasher{}), departed: immutable.NewMap[string, time.Duration](nil),
 		unsettled: map[string]time.Duration{}, former: formerEnded{},
 	}
 }
--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -105,6 +105,7 @@
 	if t.s.now-t.s.lastSweep > sweepEvery {
 		t.s.lastSweep = t.s.now
 		t.sweepEnded()
+		t.sweepDeparted()
 	}
 	t.s.placementDue = true
 }
@@ -118,8 +119,13 @@
 		e.open, t.s.usedChanged = false, true
 		t.s = t.s.withExecutor(e)
 	}
+	if e.open && e.formerLeases != 0 && t.s.now > e.formerLeases {
+		e.formerLeases, t.s.usedChanged = 0, true // so that the next owner does not wait for them
+		t.s = t.s.withExecutor(e)
+	}
 	if !e.listed && len(e.runs) == 0 && (e.failingSince != 0 || !e.open) && !t.s.isUnsettled(e.info.ID) {
 		t.s.executors = t.s.executors.Without(e.info.ID)
+		t.s.departed = t.s.departed.Set(e.info.ID, t.s.now)
 		t.s.usedChanged = true
 		t.emit(Disconnect{Executor: e.info.ID}, note(slog.LevelInfo, "executor.gone", "executor", e.info.ID))
 		return
@@ -167,6 +173,18 @@
 	}
 }
 
+// maxLateness is how long after it was sent a call to an executor may be carried out, according to the users' data sheets.
+const maxLateness = 12 * time.Second
+
+// sweepDeparted forgets the executors that no call can reach any more.
+func (t *transition) sweepDeparted() {
+	for i := t.s.departed.Iterator(); !i.Done(); {
+		if id, at, _ := i.Next(); t.s.now-at > maxLateness {
+			t.s.departed = t.s.departed.Delete(id)
+		}
+	}
+}
+
 func (t *transition) handleConfigChanged(c *site.Config) {
 	if c.Version < t.s.config.Version {
 		t.emit(note(slog.LevelWarn, "config.older", "version", c.Version, "inforce", t.s.config.Version))
--- a/internal/decision/schedule/used.go
+++ b/internal/decision/schedule/used.go
@@ -48,6 +48,9 @@
 		if e.open {
 			entry.openedAt = e.openedAt
 		}
+		if e.formerLeases > s.now {
+			used.Lease = s.lapse(e.formerLeases)
+		}
 		if end, ok := s.releaseEnd(e); ok {
 			used.Lapse, entry.released = s.lapse(end), true
 		}
@@ -158,11 +161,18 @@
 	if at == 0 {
 		at = s.settleDeadline
 	}
-	if e, ok := s.executors.Get(id); ok && e.open && e.partial {
+	e, ok := s.executors.Get(id)
+	switch {
+	case !ok:
+		return at
+	case !e.open:
+		return max(at, e.formerLeases)
+	case e.partial:
 		end, _ := e.leaseEnd()
 		return max(at, end)
+	default:
+		return at
 	}
-	return at
 }
 
 // handleHandOver releases all executors, so that the next owner has to wait only for the leases of those that do not answer
--- a/internal/model/cluster/record.go
+++ b/internal/model/cluster/record.go
@@ -85,6 +85,7 @@
 	Instance string `cbor:"instance,omitempty"`
 	Born     int64  `cbor:"born,omitempty"`  // start time in Unix milliseconds
 	Lapse    int64  `cbor:"lapse,omitempty"` // milliseconds from the write of the record until all runs have ended; 0 if unknown
+	Lease    int64  `cbor:"lease,omitempty"` // the same until leases have ended that calls for an earlier incarnation have asked for
 }
 
 // ErrRecord is wrapped by the errors about records whose content contradicts their key or cannot be used.
