Split the scheduler's step and heartbeat files, and the simulated executors

Moves only: what follows a new configuration is in config.go, what follows a restart of an executor in incarnation.go.

--- a/internal/decision/schedule/step.go
+++ b/internal/decision/schedule/step.go
@@ -8,7 +8,6 @@
 
 	"teaselloft/internal/model/job"
 	"teaselloft/internal/model/port"
-	"teaselloft/internal/model/site"
 )
 
 // RunCycle runs a scheduling cycle, which places ready tasks and commits changes. It follows each batch of other
@@ -185,57 +184,6 @@
 	}
 }
 
-func (t *transition) handleConfigChanged(c *site.Config) {
-	if c.Version < t.s.config.Version {
-		t.emit(note(slog.LevelWarn, "config.older", "version", c.Version, "inforce", t.s.config.Version))
-		return
-	}
-	t.s.config = c
-	t.updateQueues()
-	for i := t.s.moved.Iterator(); !i.Done(); {
-		if path, version, _ := i.Next(); version <= c.Version {
-			t.s.moved = t.s.moved.Delete(path)
-		}
-	}
-}
-
-// updateQueues gives the open jobs the present settings of their queues, and starts those that waited for them.
-func (t *transition) updateQueues() {
-	for i := t.s.jobs.Iterator(); !i.Done(); {
-		id, before, _ := i.Next()
-		after := before.withConfig(t.s)
-		if before.state.Final() || after.queue.Equal(before.queue) && after.awaitsConfig == before.awaitsConfig {
-			continue
-		}
-		after.objective += after.queue.Objective(after.sub) - before.queue.Objective(before.sub)
-		if before.awaitsConfig && !after.awaitsConfig {
-			t.emit(note(slog.LevelInfo, "job.configured", "job", string(id), "queue", after.sub.Queue, "version", t.s.config.Version))
-		}
-		t.s = t.s.withJob(after)
-		t.s = t.s.withAllRanks(id)
-	}
-}
-
-// queue returns a queue of the current configuration by name.
-func (s State) queue(name string) (site.Queue, bool) {
-	i := slices.IndexFunc(s.config.Queues, func(q site.Queue) bool { return q.Name == name })
-	if i < 0 {
-		return site.Queue{}, false
-	}
-	return s.config.Queues[i], true
-}
-
-// defaultAttempts is the limit for jobs whose queue is no longer in the configuration.
-const defaultAttempts = 3
-
-func (s State) queueOf(sub job.Submission) site.Queue {
-	q, ok := s.queue(sub.Queue)
-	if !ok {
-		return site.Queue{Name: sub.Queue, Attempts: defaultAttempts, Stretch: 1}
-	}
-	return q
-}
-
 func (t *transition) handleSubmit(m Submit) {
 	if t.answerKnown(m.Token, m.Submission) {
 		return
@@ -310,16 +258,6 @@
 	return ok && pool != s.Pool && version < s.config.Version
 }
 
-// Slack returns how long after its submission a job may start and still meet its objective.
-func (s State) Slack(sub job.Submission) time.Duration {
-	return s.objectiveOf(sub) - sub.CriticalPath()
-}
-
-// objectiveOf returns the time within which a job should end.
-func (s State) objectiveOf(sub job.Submission) time.Duration {
-	return s.queueOf(sub).Objective(sub)
-}
-
 // newJob returns the state of a job that has just been submitted. If this owner does not know its queue yet, no task starts
 // before the configuration by which the queue was chosen.
 func (s State) newJob(sub job.Submission, version int64, digest uint64, unix int64, now time.Duration) jobState {
