Restart executors under their IDs in the soak

The stand-in executors can end and start again under their ID and address; the next incarnation carries out the calls that came while it was down, and late orders, as the users' executors do. Half of the soak's runs have a series of such restarts, from random numbers of their own, so that the other faults of recorded seeds stay what they were.

--- a/internal/proof/soak/fault.go
+++ b/internal/proof/soak/fault.go
@@ -68,6 +68,8 @@
 	StoreForgets struct{}
 	// Crash stops executors together with every task that runs on them.
 	Crash struct{ Executors []int }
+	// Restart starts executors again under their IDs. They carry out the calls that came while they were down.
+	Restart struct{ Executors []int }
 	// Break makes an executor ignore orders, carry them out late, or fail or hang its tasks.
 	Break struct {
 		Executor int
@@ -94,6 +96,7 @@
 func (StoreLoses) fault()     {}
 func (StoreForgets) fault()   {}
 func (Crash) fault()          {}
+func (Restart) fault()        {}
 func (Break) fault()          {}
 func (Configure) fault()      {}
 
@@ -120,10 +123,26 @@
 	if splits.IntN(2) == 0 {
 		actions = append(actions, drawSplit(splits, between(splits, 0, o.Length), o))
 	}
+	actions = append(actions, planRestarts(rand.New(rand.NewPCG(o.Seed, restartStream)), o)...)
 	slices.SortStableFunc(actions, func(a, b action) int { return cmp.Compare(a.at, b.at) })
 	return actions
 }
 
+// planRestarts generates, for half of the runs, a series of restarts of the same executors.
+func planRestarts(r *rand.Rand, o Options) []action {
+	if r.IntN(2) == 0 {
+		return nil
+	}
+	var actions []action
+	f := Restart{Executors: pickSome(r, o.Instances*len(Pools))}
+	at := between(r, 0, o.Length)
+	for range 1 + r.IntN(4) {
+		actions = append(actions, action{at: at, length: between(r, 200*time.Millisecond, 1500*time.Millisecond), fault: f})
+		at += between(r, time.Second, 3*time.Second)
+	}
+	return actions
+}
+
 // planSplits generates the faults of a run with splits alone, one after the other.
 func planSplits(r *rand.Rand, o Options) []action {
 	var actions []action
@@ -153,9 +172,10 @@
 
 // Kinds of faults that draw generates.
 const (
-	kinds       = 16      // drawn for each fault or series
-	kindSplit   = kinds   // drawn for half of the runs
-	splitStream = 1 << 33 // of random numbers for splits: the other faults of recorded seeds stay what they were
+	kinds         = 16      // drawn for each fault or series
+	kindSplit     = kinds   // drawn for half of the runs
+	splitStream   = 1 << 33 // of random numbers for splits: the other faults of recorded seeds stay what they were
+	restartStream = 1 << 34 // the same for restarts
 )
 
 // draw returns a random fault of a kind. Executor numbers index the executors that are alive when the fault begins.
@@ -261,6 +281,9 @@
 		store.DropHistory()
 	case Crash:
 		s.crash(f)
+	case Restart:
+		s.restartExecutors(f, a.length)
+		sleep()
 	case Break:
 		s.breakExecutor(f, sleep)
 	case Configure:
@@ -380,6 +403,14 @@
 	}
 }
 
+func (s *soak) restartExecutors(f Restart, down time.Duration) {
+	for _, n := range f.Executors {
+		if e, ok := s.executor(n); ok {
+			s.system.site.Restart(e.ID, down)
+		}
+	}
+}
+
 func (s *soak) breakExecutor(f Break, sleep func()) {
 	if e, ok := s.executor(f.Executor); ok {
 		e.Break(f.How)
--- a/internal/standin/site/executor.go
+++ b/internal/standin/site/executor.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,7 +29,8 @@
 // lateAfter is the delay of FaultLate, the shortest that the published API names.
 const lateAfter = 2 * time.Second
 
-// Executor is one incarnation of an instance. The spec of a task is its duration, or starts with "fail" if it is to fail.
+// Executor is one incarnation of an instance, or several in succession that have the same ID and address. The spec of a task
+// is its duration, or starts with "fail" if it is to fail.
 //
 // It ends its runs when its lease expires on its own clock, which may be slow.
 type Executor struct {
@@ -36,7 +38,7 @@
 	CPU      int // millicores
 	server   *http.Server
 	address  string
-	born     time.Time
+	born     atomic.Pointer[time.Time]
 	rate     float64 // speed of its clock relative to real time
 	maxLease time.Duration
 	observe  Observer
@@ -52,6 +54,7 @@
 	changed     chan struct{}
 	fault       Fault
 	closed      bool
+	up          chan struct{} // closed while the executor is not down
 }
 
 type taskRun struct {
@@ -87,9 +90,10 @@
 		o.Rate = 1
 	}
 	e := &Executor{
-		ID: o.ID, CPU: o.CPU, address: listener.Addr().String(), born: time.Now(), rate: o.Rate, maxLease: o.Lease, observe: o.Observe,
-		runs: map[string]*taskRun{}, finished: map[string]uint64{}, changed: make(chan struct{}),
+		ID: o.ID, CPU: o.CPU, address: listener.Addr().String(), rate: o.Rate, maxLease: o.Lease, observe: o.Observe,
+		runs: map[string]*taskRun{}, finished: map[string]uint64{}, changed: make(chan struct{}), up: make(chan struct{}),
 	}
+	e.begin()
 	e.lease = time.AfterFunc(time.Hour, e.expireLease)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", e.order(e.start))
@@ -112,13 +116,59 @@
 	}
 	e.closed = true
 	e.lease.Stop()
+	e.endIncarnation()
+	select {
+	case <-e.up:
+	default:
+		close(e.up) // its waiting calls are refused
+	}
+}
+
+// endIncarnation drops all runs and ends. The caller holds the mutex.
+func (e *Executor) endIncarnation() {
 	for _, w := range e.runs {
 		w.timer.Stop()
 	}
-	e.runs = map[string]*taskRun{}
+	e.runs, e.finished, e.ends = map[string]*taskRun{}, map[string]uint64{}, nil
+	e.fence, e.endSequence, e.expires = 0, 0, 0
 	e.observe(Gone{Executor: e.ID, At: time.Now()})
 }
 
+// begin starts an incarnation.
+func (e *Executor) begin() {
+	now := time.Now()
+	e.born.Store(&now)
+	close(e.up)
+}
+
+// restart ends the incarnation and starts the next one under the same ID and address after a downtime. The calls that come
+// meanwhile get no answer in time, and the next incarnation carries them out. It calls done at its start.
+func (e *Executor) restart(down time.Duration, done func()) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	select {
+	case <-e.up:
+	default:
+		return // it is down
+	}
+	if e.closed {
+		return
+	}
+	e.up = make(chan struct{})
+	e.endIncarnation()
+	time.AfterFunc(down, func() {
+		e.mutex.Lock()
+		closed := e.closed
+		if !closed {
+			e.begin()
+		}
+		e.mutex.Unlock()
+		if !closed {
+			done()
+		}
+	})
+}
+
 // Break sets the failure mode; FaultNone resumes the paused tasks.
 func (e *Executor) Break(f Fault) {
 	e.mutex.Lock()
@@ -139,14 +189,16 @@
 func (e *Executor) entry(pool, instance, rack, address string) []byte {
 	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"z","version":"v1","slots":8,"state":"ready","cold-remaining-ms":0,`+
 		`"capacity":{"cpu":%d,"mem-mb":65536,"gpu":0},"labels":["a",%q],"machine":%q,"born":%d,"sequence":1}`,
-		pool, address, e.CPU, rack, instance, e.born.UnixMilli())
+		pool, address, e.CPU, rack, instance, e.born.Load().UnixMilli())
 }
 
 // now returns the time on the executor's clock in ms.
-func (e *Executor) now() int64 { return int64(float64(time.Since(e.born).Milliseconds()) * e.rate) }
+func (e *Executor) now() int64 {
+	return int64(float64(time.Since(*e.born.Load()).Milliseconds()) * e.rate)
+}
 
 func (e *Executor) clock() map[string]any {
-	return map[string]any{"clock-ms": e.now(), "born": e.born.UnixMilli()}
+	return map[string]any{"clock-ms": e.now(), "born": e.born.Load().UnixMilli()}
 }
 
 type orderBody struct {
@@ -175,6 +227,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return b, FaultNone, false
 	}
+	e.awaitUp()
 	e.mutex.Lock()
 	fault = e.fault
 	e.mutex.Unlock()
@@ -185,6 +238,14 @@
 	return b, fault, true
 }
 
+// awaitUp waits while the executor is down.
+func (e *Executor) awaitUp() {
+	e.mutex.Lock()
+	up := e.up
+	e.mutex.Unlock()
+	<-up
+}
+
 // order returns a handler that executes an order at once, or late and without an answer under FaultLate.
 func (e *Executor) order(do func(orderBody) answer) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -193,7 +254,10 @@
 			return
 		}
 		if fault == FaultLate {
-			time.AfterFunc(lateAfter, func() { e.execute(b, do) })
+			time.AfterFunc(lateAfter, func() {
+				e.awaitUp()
+				e.execute(b, do)
+			})
 			<-r.Context().Done()
 			return
 		}
@@ -336,6 +400,7 @@
 	if !ok {
 		return
 	}
+	born := e.born.Load()
 	if a := e.execute(b, e.acknowledgeEnds); a.reason != "" {
 		body := e.clock()
 		body["reason"] = a.reason
@@ -346,6 +411,10 @@
 	defer limit.Stop()
 	for {
 		body, news, changed := e.report()
+		if e.born.Load() != born {
+			<-r.Context().Done() // the connection was to the former incarnation
+			return
+		}
 		if news {
 			reply(w, http.StatusOK, body)
 			return
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -66,6 +66,7 @@
 	away     bool
 	wave     int64 // maintenance wave that the instance is down for; 0 if none
 
+	address   string      // where clients reach the executor
 	entry     []byte      // of the executor
 	published string      // key of the instance's entry in the store, or empty
 	isolated  bool        // the executor does not reach the store
@@ -136,11 +137,8 @@
 		return err
 	}
 	i.executor = e
-	address := e.Address()
-	if s.options.Front != nil {
-		address = s.options.Front(e.ID, address)
-	}
-	i.entry = e.entry(i.pool, i.name, i.rack, address)
+	i.address = s.address(e)
+	i.entry = e.entry(i.pool, i.name, i.rack, i.address)
 	s.publish(i)
 	return nil
 }
@@ -230,6 +228,37 @@
 	}
 }
 
+// Restart ends the incarnation of an executor; the next one has the same ID and starts after a downtime.
+func (s *Site) Restart(executor string, down time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, i := range s.instances {
+		if e := i.executor; e != nil && e.ID == executor {
+			e.restart(down, func() { s.restarted(i, e) })
+			return
+		}
+	}
+}
+
+// restarted writes the entry of an executor that has started again.
+func (s *Site) restarted(i *instance, e *Executor) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if i.executor != e {
+		return // another executor has taken its place
+	}
+	i.entry = e.entry(i.pool, i.name, i.rack, i.address)
+	s.publish(i)
+}
+
+// address returns a new address at which clients reach an executor.
+func (s *Site) address(e *Executor) string {
+	if s.options.Front != nil {
+		return s.options.Front(e.ID, e.Address())
+	}
+	return e.Address()
+}
+
 // Remove stops an executor and its instance for good. The executor's entry in the store expires, and another instance
 // joins the pool after the downtime.
 func (s *Site) Remove(executor string) {
