--- a/internal/proof/soak/fault.go
+++ b/internal/proof/soak/fault.go
@@ -66,10 +66,12 @@
 	StoreLoses struct{ Late bool }
 	// StoreForgets compacts the store's history, so that watches have to start anew.
 	StoreForgets struct{}
-	// Crash stops executors together with every task that runs on them.
-	Crash struct{ Executors []int }
-	// Restart starts executors again under their IDs. They carry out the calls that came while they were down.
-	Restart struct{ Executors []int }
+	// Crash stops executors together with every task that runs on them. They start again under their IDs if SameID is set, and
+	// carry out the calls that came while they were down.
+	Crash struct {
+		Executors []int
+		SameID    bool
+	}
 	// Break makes an executor ignore orders, carry them out late, or fail or hang its tasks.
 	Break struct {
 		Executor int
@@ -96,7 +98,6 @@
 func (StoreLoses) fault()     {}
 func (StoreForgets) fault()   {}
 func (Crash) fault()          {}
-func (Restart) fault()        {}
 func (Break) fault()          {}
 func (Configure) fault()      {}
 
@@ -134,7 +135,7 @@
 		return nil
 	}
 	var actions []action
-	f := Restart{Executors: pickSome(r, o.Instances*len(Pools))}
+	f := Crash{Executors: pickSome(r, o.Instances*len(Pools)), SameID: true}
 	at := between(r, 0, o.Length)
 	for range 1 + r.IntN(4) {
 		actions = append(actions, action{at: at, length: between(r, 200*time.Millisecond, 1500*time.Millisecond), fault: f})
@@ -280,10 +281,7 @@
 	case StoreForgets:
 		store.DropHistory()
 	case Crash:
-		s.crash(f)
-	case Restart:
-		s.restartExecutors(f, a.length)
-		sleep()
+		s.crash(f, a.length)
 	case Break:
 		s.breakExecutor(f, sleep)
 	case Configure:
@@ -395,18 +393,14 @@
 	store.LoseAnswers(0)
 }
 
-func (s *soak) crash(f Crash) {
+func (s *soak) crash(f Crash, down time.Duration) {
 	for _, n := range f.Executors {
-		if e, ok := s.executor(n); ok {
-			s.system.site.Crash(e.ID)
-		}
-	}
-}
-
-func (s *soak) restartExecutors(f Restart, down time.Duration) {
-	for _, n := range f.Executors {
-		if e, ok := s.executor(n); ok {
+		switch e, ok := s.executor(n); {
+		case !ok:
+		case f.SameID:
 			s.system.site.Restart(e.ID, down)
+		default:
+			s.system.site.Crash(e.ID)
 		}
 	}
 }
