--- a/internal/model/cluster/record.go
+++ b/internal/model/cluster/record.go
@@ -34,7 +34,7 @@
 	Name    string `cbor:"name"`
 	Start   int64  `cbor:"start"`
 	Address string `cbor:"address"`
-	Epoch   uint64 `cbor:"epoch"` // increases with each change of owner; also the fencing token of the owner's orders
+	Epoch   uint64 `cbor:"epoch"` // increases with each change of owner; also the fencing token of orders to instances, and the high part of those of calls to executors
 }
 
 // WriteFenceKey returns the key of the write fence of a lane of a duty. An owner has a write in flight in each lane.
