--- /dev/null
+++ b/review/driver-3/case_rack.go
@@ -0,0 +1,75 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// runRack submits work whose data is on one rack, after all executors of that rack were lost for good. It must run on others,
+// which are idle.
+func runRack(w *world, trouble bool) (bool, error) {
+	var far []*executor
+	for n := range 6 {
+		e, err := w.addExecutor("calendar", "a")
+		if err != nil {
+			return false, err
+		}
+		if n >= 4 {
+			far = append(far, e) // executors 4 and 5 are those of rack r1
+		}
+	}
+	w.manifest([]string{"calendar"}, route{name: "notices", prefix: "/notices/", pool: "calendar"})
+	if err := w.startDaemons(); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		for _, e := range far {
+			e.lose()
+		}
+	}
+	time.Sleep(8 * time.Second) // the entries of the lost executors have expired
+	var accepted []string
+	const tasks = 4
+	for n := range 3 {
+		id := fmt.Sprintf("9%015x", n)
+		if w.submit(n, "/notices/"+id, map[string]any{"spec": "work=5s", "pipeline-steps": []step{
+			{"count": tasks, "cpu": 1000, "mem-mb": 64, "estimate-ms": 40000, "affinity": "r1"},
+		}}) {
+			accepted = append(accepted, id)
+		}
+	}
+	end := time.Now()
+	w.record.add("end of the traffic, %d submissions accepted", len(accepted))
+	return w.judgeIdle(end, accepted, tasks), nil
+}
+
+// judgeIdle watches submissions of a number of tasks, from finish after the end of the traffic on.
+func (w *world) judgeIdle(trafficEnd time.Time, accepted []string, tasks int) bool {
+	idleSince := map[string]time.Time{}
+	broken := false
+	for ; time.Since(trafficEnd) < finish+2*idleLimit; time.Sleep(100 * time.Millisecond) {
+		now := time.Now()
+		if now.Sub(trafficEnd) < finish {
+			continue
+		}
+		for _, id := range accepted {
+			n, all := w.runningTasks(id)
+			switch {
+			case n > 0 || w.doneTasks(id) == tasks || all > 0:
+				delete(idleSince, id)
+			case idleSince[id].IsZero():
+				idleSince[id] = now
+			case now.Sub(idleSince[id]) > idleLimit && !broken:
+				w.record.add("LOST: submission %s has nothing running for %.1f s, %d of %d tasks are done, and no task runs at all", id, now.Sub(idleSince[id]).Seconds(), w.doneTasks(id), tasks)
+				broken = true
+			}
+		}
+	}
+	for n, id := range accepted {
+		w.state(n, "/notices/"+id)
+	}
+	return broken
+}
