Review: show that large submissions end the owners of pools

The owner of a pool keeps all accepted jobs in memory, without a bound on their number or size. Some 290 large ones exceed the memory of a machine of the small sites; each next owner reads them from the store and exceeds it again (FAULT).

Added: review/11, and in the stand-ins what the platform does to a process that exceeds its memory.

--- a/review/driver-3/main.go
+++ b/review/driver-3/main.go
@@ -23,7 +23,7 @@
 	"schedule": runSchedule,
 	"kind":     runKind,
 	"pending":  runPending,
-	"cancel":   runCancel,
+	"large":    runLarge,
 	"rack":     runRack,
 }
 
--- a/review/driver-3/world.go
+++ b/review/driver-3/world.go
@@ -5,8 +5,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -49,6 +51,8 @@
 	fronts  []string
 	ready   []string
 	nodes   []*exec.Cmd
+	stop    chan struct{} // closed when the case ends
+	guards  sync.WaitGroup
 	storeAt string
 	cloud   string
 	version int
@@ -57,6 +61,7 @@
 	executors []*executor
 	starts    []start
 	running   map[string]int // runs at work by task
+	kills     [daemons]int   // how often a daemon was killed for its memory
 	ended     map[string]int // ends as done by task
 }
 
@@ -75,7 +80,7 @@
 		return nil, err
 	}
 	w := &world{
-		record: r, store: site.NewStore(), dir: dir, repo: repo, binary: path, running: map[string]int{}, ended: map[string]int{},
+		record: r, store: site.NewStore(), dir: dir, repo: repo, binary: path, running: map[string]int{}, ended: map[string]int{}, stop: make(chan struct{}),
 		client: &http.Client{Timeout: deadline, Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 	}
 	w.gate = w.store.NewGate()
@@ -262,24 +267,22 @@
 	return n
 }
 
-// freePorts returns ports that are free now.
+// freePorts returns ports that are free now. They are below those that the system gives to connections and to the stand-ins.
 func freePorts(n int) ([]int, error) {
+	const first, last = 20_000, 30_000
 	var ports []int
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
-		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 * n {
+		port := first + rand.IntN(last-first)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
+		}
+		_ = l.Close()
+		if ports = append(ports, port); len(ports) == n {
+			return ports, nil
 		}
-		open = append(open, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	return ports, nil
+	return nil, errors.New("no free ports")
 }
 
 // startDaemons starts the daemons and waits until all are ready.
@@ -318,13 +321,14 @@
 		if err != nil {
 			return err
 		}
-		c := exec.Command(w.binary, "node")
-		c.Dir, c.Stdout, c.Stderr = w.repo, log, log
-		c.Env = append(os.Environ(), "TEASELLOFT_BOOT="+path)
-		if err := c.Start(); err != nil {
+		c, err := w.startDaemon(path, log)
+		if err != nil {
 			return err
 		}
+		w.mutex.Lock()
 		w.nodes, w.fronts, w.ready = append(w.nodes, c), append(w.fronts, address(p[0])), append(w.ready, address(p[1]))
+		w.mutex.Unlock()
+		w.guards.Go(func() { w.guard(n, path, log) })
 		w.record.add("daemon %d starts, process %d", n+1, c.Process.Pid)
 	}
 	for n, address := range w.ready {
@@ -336,6 +340,66 @@
 	return nil
 }
 
+// startDaemon starts a process as the deploy file does.
+func (w *world) startDaemon(settings string, log *os.File) (*exec.Cmd, error) {
+	c := exec.Command(w.binary, "node")
+	c.Dir, c.Stdout, c.Stderr = w.repo, log, log
+	c.Env = append(os.Environ(), "TEASELLOFT_BOOT="+settings)
+	return c, c.Start()
+}
+
+// guard does what the platform does: it kills a daemon whose memory exceeds the limit, and starts it again after a delay.
+func (w *world) guard(n int, settings string, log *os.File) {
+	const interval, delay = 50 * time.Millisecond, 500 * time.Millisecond
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(interval):
+		}
+		w.mutex.Lock()
+		c := w.nodes[n]
+		w.mutex.Unlock()
+		size := residentMB(c.Process.Pid)
+		if size <= memoryMB {
+			continue
+		}
+		_ = c.Process.Kill()
+		_ = c.Wait()
+		w.mutex.Lock()
+		w.kills[n]++
+		kills := w.kills[n]
+		w.mutex.Unlock()
+		w.record.add("daemon %d uses %d MB of %d and is killed, %d times so far", n+1, size, memoryMB, kills)
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(delay):
+		}
+		next, err := w.startDaemon(settings, log)
+		if err != nil {
+			w.record.add("daemon %d does not start: %v", n+1, err)
+			return
+		}
+		w.mutex.Lock()
+		w.nodes[n] = next
+		w.mutex.Unlock()
+	}
+}
+
+// residentMB returns the memory of a process, or 0 if it has ended.
+func residentMB(pid int) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
+
 func (w *world) isReady(address string) bool {
 	r, err := w.client.Get("http://" + address + "/readyz")
 	if err != nil {
@@ -357,6 +421,8 @@
 
 // close ends the daemons and the servers.
 func (w *world) close() {
+	close(w.stop)
+	w.guards.Wait()
 	for _, c := range w.nodes {
 		_ = c.Process.Signal(syscall.SIGKILL)
 		_ = c.Wait()
