--- a/review/driver-3/case_rack.go
+++ b/review/driver-3/case_rack.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// runRack submits work whose data is on one rack, after all executors of that rack were lost for good. It must run on others,
-// which are idle.
+// runRack submits work after all executors of a rack were lost for good. Half of it has its data on that rack and must run on
+// others, which become idle.
 func runRack(w *world, trouble bool) (bool, error) {
 	var far []*executor
 	for n := range 6 {
@@ -33,11 +33,13 @@
 	time.Sleep(8 * time.Second) // the entries of the lost executors have expired
 	var accepted []string
 	const tasks = 4
-	for n := range 3 {
+	for n := range 10 {
 		id := fmt.Sprintf("9%015x", n)
-		if w.submit(n, "/notices/"+id, map[string]any{"spec": "work=5s", "pipeline-steps": []step{
-			{"count": tasks, "cpu": 1000, "mem-mb": 64, "estimate-ms": 40000, "affinity": "r1"},
-		}}) {
+		work := step{"count": tasks, "cpu": 1000, "mem-mb": 64, "estimate-ms": 40000}
+		if n%2 == 0 { // half of the submissions
+			work["affinity"] = "r1"
+		}
+		if w.submit(n, "/notices/"+id, map[string]any{"spec": "work=5s", "pipeline-steps": []step{work}}) {
 			accepted = append(accepted, id)
 		}
 	}
--- a/review/driver-3/main.go
+++ b/review/driver-3/main.go
@@ -21,7 +21,7 @@
 // cases maps the names of the cases to their functions, which return whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"schedule": runSchedule,
-	"kind":     runKind,
+	"cancel":   runCancel,
 	"pending":  runPending,
 	"large":    runLarge,
 	"rack":     runRack,
