--- a/review/driver-3/case_cancel.go
+++ b/review/driver-3/case_cancel.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// runCancel submits a schedule. During a short outage of the store a client asks to cancel it, which is refused. The remaining
-// times must run. Without the outage the cancel is carried out.
+// runCancel submits a schedule. During a short outage of the store a client asks to cancel it, which is refused, and then submits
+// it again. The remaining times must run. Without the outage the cancel is carried out.
 func runCancel(w *world, trouble bool) (bool, error) {
 	for range 4 {
 		if _, err := w.addExecutor("calendar", "a"); err != nil {
@@ -23,10 +23,11 @@
 	const times, interval = 5, 3 * time.Second
 	id := "f000000000000000"
 	begin := time.Now().Add(2 * time.Second)
-	if !w.submit(0, "/notices/"+id, map[string]any{
+	body := map[string]any{
 		"spec": "work=500ms", "repeat-count": times, "interval-ms": interval.Milliseconds(), "start-at-ms": begin.UnixMilli(),
 		"pipeline-steps": []step{{"count": 1, "cpu": 1000, "mem-mb": 64, "estimate-ms": 500}},
-	}) {
+	}
+	if !w.submit(0, "/notices/"+id, body) {
 		return false, fmt.Errorf("the schedule is not accepted")
 	}
 	time.Sleep(time.Until(begin.Add(1500 * time.Millisecond)))
@@ -41,11 +42,13 @@
 	}
 	status, _ := w.call(1, http.MethodDelete, "/notices/"+id, nil)
 	acknowledged := status >= 200 && status < 300 || status == http.StatusGone
+	time.Sleep(1400 * time.Millisecond)
+	again, _ := w.call(2, http.MethodPost, "/notices/"+id, body) // the client wants it after all
 	time.Sleep(time.Until(begin.Add(times * interval)))
 	time.Sleep(finish + idleLimit)
 	state := w.state(2, "/notices/"+id)
 	done := w.doneTasks(id)
-	w.record.add("the cancel was answered %d; %d of %d times have run; the submission is %s", status, done, times, state)
+	w.record.add("the cancel was answered %d and the repeated submission %d; %d of %d times have run; the submission is %s", status, again, done, times, state)
 	if acknowledged || status == 0 || status == http.StatusGatewayTimeout {
 		return false, nil // it may be cancelled
 	}
--- a/review/driver-3/case_rack.go
+++ b/review/driver-3/case_rack.go
@@ -7,17 +7,17 @@
 	"time"
 )
 
-// runRack submits work after all executors of a rack were lost for good. Half of it has its data on that rack and must run on
+// runRack submits work after the only executor of a rack was lost for good. Half of it has its data on that rack and must run on
 // others, which become idle.
 func runRack(w *world, trouble bool) (bool, error) {
 	var far []*executor
-	for n := range 6 {
+	for n := range 9 {
 		e, err := w.addExecutor("calendar", "a")
 		if err != nil {
 			return false, err
 		}
-		if n >= 4 {
-			far = append(far, e) // executors 4 and 5 are those of rack r1
+		if n >= 8 {
+			far = append(far, e) // the racks have four executors each, and r2 the last one
 		}
 	}
 	w.manifest([]string{"calendar"}, route{name: "notices", prefix: "/notices/", pool: "calendar"})
@@ -37,7 +37,7 @@
 		id := fmt.Sprintf("9%015x", n)
 		work := step{"count": tasks, "cpu": 1000, "mem-mb": 64, "estimate-ms": 40000}
 		if n%2 == 0 { // half of the submissions
-			work["affinity"] = "r1"
+			work["affinity"] = "r2"
 		}
 		if w.submit(n, "/notices/"+id, map[string]any{"spec": "work=5s", "pipeline-steps": []step{work}}) {
 			accepted = append(accepted, id)
