Review: start daemons again if a port was taken

The ports are held until the daemons start, and the daemons start again on others if one isn't ready.

--- a/review/driver-3/world.go
+++ b/review/driver-3/world.go
@@ -267,31 +267,63 @@
 	return n
 }
 
-// freePorts returns ports that are free now. They are below those that the system gives to connections and to the stand-ins.
-func freePorts(n int) ([]int, error) {
+// freePorts holds ports that are free now until release is called. They are below those that the system gives to connections and
+// to the stand-ins.
+func freePorts(n int) (ports []int, release func(), err error) {
 	const first, last = 20_000, 30_000
-	var ports []int
+	var held []net.Listener
+	release = func() {
+		for _, l := range held {
+			_ = l.Close()
+		}
+		held = nil
+	}
 	for range 100 * n {
 		port := first + rand.IntN(last-first)
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
-		_ = l.Close()
+		held = append(held, l)
 		if ports = append(ports, port); len(ports) == n {
-			return ports, nil
+			return ports, release, nil
 		}
 	}
-	return nil, errors.New("no free ports")
+	release()
+	return nil, nil, errors.New("no free ports")
 }
 
-// startDaemons starts the daemons and waits until all are ready.
+// startDaemons starts the daemons and waits until all are ready. If one isn't, another program may have taken a port in the
+// meantime, so that all are started again on other ports.
 func (w *world) startDaemons() error {
-	ports, err := freePorts(4 * daemons)
+	const attempts = 3
+	for attempt := 1; ; attempt++ {
+		err := w.tryDaemons()
+		if err == nil || attempt == attempts {
+			return err
+		}
+		w.record.add("%v; all daemons are started again", err)
+		for _, c := range w.nodes {
+			_ = c.Process.Kill()
+			_ = c.Wait()
+		}
+		w.nodes, w.fronts, w.ready = nil, nil, nil
+		time.Sleep(memberLease)
+	}
+}
+
+// memberLease exceeds the time after which the daemons see that others have ended.
+const memberLease = 3 * time.Second
+
+// tryDaemons starts the daemons and waits until all are ready.
+func (w *world) tryDaemons() error {
+	ports, release, err := freePorts(4 * daemons)
 	if err != nil {
 		return err
 	}
+	defer release()
 	address := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+	var guards []func()
 	for n := range daemons {
 		p := ports[4*n : 4*n+4]
 		settings, err := json.MarshalIndent(map[string]any{
@@ -321,21 +353,23 @@
 		if err != nil {
 			return err
 		}
+		release() // only the first time
 		c, err := w.startDaemon(path, log)
 		if err != nil {
 			return err
 		}
-		w.mutex.Lock()
 		w.nodes, w.fronts, w.ready = append(w.nodes, c), append(w.fronts, address(p[0])), append(w.ready, address(p[1]))
-		w.mutex.Unlock()
-		w.guards.Go(func() { w.guard(n, path, log) })
+		guards = append(guards, func() { w.guard(n, path, log) })
 		w.record.add("daemon %d starts, process %d", n+1, c.Process.Pid)
 	}
 	for n, address := range w.ready {
-		if !waitFor(15*time.Second, func() bool { return w.isReady(address) }) {
+		if !waitFor(5*time.Second, func() bool { return w.isReady(address) }) {
 			return fmt.Errorf("daemon %d is not ready", n+1)
 		}
 	}
+	for _, guard := range guards {
+		w.guards.Go(guard)
+	}
 	w.record.add("all daemons are ready")
 	return nil
 }
