Review: judge each lasting task of case 12 by itself

The check took the lasting tasks together and did not ask for room, which was stricter than the rule.

--- a/review/driver-3/case_schedule.go
+++ b/review/driver-3/case_schedule.go
@@ -75,20 +75,21 @@
 // judgeLost watches lasting tasks and, from finish after the end of the traffic on, submissions of a number of tasks.
 func (w *world) judgeLost(trafficEnd time.Time, lasting string, lastingTasks int, accepted []string, tasks int) bool {
 	idleSince := map[string]time.Time{}
-	lastingSince := time.Time{}
+	lastRun := map[string]time.Time{} // of the lasting tasks
 	broken := false
 	for ; time.Since(trafficEnd) < finish+3*idleLimit && !broken; time.Sleep(100 * time.Millisecond) {
 		now := time.Now()
-		n, all := w.runningTasks(lasting)
+		_, all := w.runningTasks(lasting)
 		free := all*1000*2 < 6*machineCPU // each task has at most a core; under half of the capacity is in use
-		switch {
-		case n == lastingTasks:
-			lastingSince = time.Time{}
-		case lastingSince.IsZero():
-			lastingSince = now
-		case now.Sub(lastingSince) > lastingStart+idleLimit:
-			w.record.add("LOST: %d of %d lasting tasks run since %.1f s, %d tasks run in all", n, lastingTasks, now.Sub(lastingSince).Seconds(), all)
-			broken = true
+		for n := range lastingTasks {
+			task := fmt.Sprintf("%s.0.0.%d", lasting, n)
+			switch idle := now.Sub(lastRun[task]); {
+			case lastRun[task].IsZero() || w.runs(task) || !free:
+				lastRun[task] = now
+			case idle > lastingStart+idleLimit:
+				w.record.add("LOST: task %s, which lasts, has no run for %.1f s, %d tasks run in all", task, idle.Seconds(), all)
+				broken = true
+			}
 		}
 		if now.Sub(trafficEnd) < finish {
 			continue
--- a/review/driver-3/world.go
+++ b/review/driver-3/world.go
@@ -254,6 +254,13 @@
 	return ofJob, all
 }
 
+// runs reports whether a run of a task is at work.
+func (w *world) runs(task string) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.running[task] > 0
+}
+
 // doneTasks returns how many tasks of a job have ended as done.
 func (w *world) doneTasks(job string) int {
 	w.mutex.Lock()
